--- a/otterglade/interface.py
+++ b/otterglade/interface.py
@@ -125,6 +125,24 @@
     ask_discovery: bool
     ask_within: float
 
+    def __post_init__(self) -> None:
+        """Refuse settings that no site can mean, naming the field."""
+        rungs = len(self.ladder)
+        if not rungs:
+            raise ValueError("ladder: empty")
+        if len(self.ladder_worth) != rungs:
+            raise ValueError("ladder_worth: not one for each rung")
+        if not self.classes:
+            raise ValueError("classes: empty")
+        for terms in self.classes:
+            if not 0 <= terms.floor < rungs:
+                raise ValueError("classes.floor: not on the ladder")
+            if not terms.floor <= terms.top < rungs:
+                raise ValueError("classes.top: not on the ladder, or under the floor")
+        for name in ("gateways", "cells", "racks", "max_attempts"):
+            if getattr(self, name) < 1:
+                raise ValueError(f"{name}: under 1")
+
 
 # Events
 
--- /dev/null
+++ b/otterglade/state.py
@@ -0,0 +1,184 @@
+"""What a gateway has been told and what it has done: plain bookkeeping for the module, no decisions."""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+
+from . import interface as api
+
+
+@dataclass(slots=True, eq=False)
+class Use:
+    """Use of a link or uplink: the last reading, and this gateway's changes that it can't hold yet."""
+
+    size: float
+    value: float | None = None
+    at: float = -math.inf
+    changes: deque[tuple[float, float]] = field(default_factory=deque)
+
+    def read(self, value: float, now: float, lag: float) -> None:
+        self.value, self.at = value, now
+        while self.changes and self.changes[0][0] < now - lag:
+            self.changes.popleft()
+
+    def estimate(self, unheard: float) -> float:
+        """Asked over given, with own changes since; `unheard` where nothing was ever read."""
+        if self.value is None or self.size <= 0:
+            return unheard
+        return max(0.0, self.value + sum(rate for _, rate in self.changes) / self.size)
+
+
+@dataclass(slots=True, eq=False)
+class Session:
+    """A session from its request to the end of its last attempt."""
+
+    request: api.SessionRequest
+    terms: api.SessionClass
+    taken: float
+    rung: int = 0
+    rate: float = 0.0
+    server: Server | None = None
+    """Where an attempt is out, or plays."""
+    tried: list[int] = field(default_factory=list)
+    may_have_run: Server | None = None
+    sent_at: float = -math.inf
+    playing: bool = False
+    over: bool = False
+    started: float = -math.inf
+
+    @property
+    def number(self) -> int:
+        return self.request.session
+
+    @property
+    def top(self) -> int:
+        return max(self.terms.floor, min(self.request.top, self.terms.top))
+
+
+@dataclass(slots=True, eq=False)
+class Server:
+    """What this gateway knows of one server."""
+
+    entry: api.ServerEntry
+    link: Use
+    uplink: Use
+    """The same object for all servers of a rack."""
+    slots: float
+    sessions: dict[int, Session] = field(default_factory=dict)
+    streams: float | None = None
+    heard: float = -math.inf
+    cold_until: float = -math.inf
+    next_turn: float = -math.inf
+    open_until: float = -math.inf
+    trips: int = 0
+    last_sign: float = -math.inf
+    trial: int | None = None
+    settle_until: float = -math.inf
+    climb_after: float = -math.inf
+    full_until: float = -math.inf
+
+    @property
+    def own_rate(self) -> float:
+        return sum(session.rate for session in self.sessions.values())
+
+    def rate_of(self, session: Session, rung: int, settings: api.Settings) -> float:
+        """What a session asks of the link at a rung: a further viewer of a shared live stream adds less."""
+        rate = settings.ladder[rung] * session.terms.scale
+        if session.terms.live and settings.shared_adds < 1:
+            mine = (session.request.lane, session.request.title, rung)
+            for other in self.sessions.values():
+                if other is not session and (other.request.lane, other.request.title, other.rung) == mine:
+                    return rate * settings.shared_adds
+        return rate
+
+    def put(self, session: Session, rung: int, now: float, settings: api.Settings) -> None:
+        """Book a session, new here or not, at a rung."""
+        self.sessions[session.number] = session
+        session.server = self
+        self._book(session, self.rate_of(session, rung, settings), now)
+        session.rung = rung
+
+    def drop(self, session: Session, now: float) -> None:
+        self._book(session, 0.0, now)
+        self.sessions.pop(session.number, None)
+        session.server = None
+
+    def _book(self, session: Session, rate: float, now: float) -> None:
+        for use in (self.link, self.uplink):
+            use.changes.append((now, rate - session.rate))
+        session.rate = rate
+
+
+class Fleet:
+    """The servers as the list names them, by id and by cell, with the means that the weight needs."""
+
+    def __init__(self, settings: api.Settings) -> None:
+        self.settings = settings
+        self.servers: dict[int, Server] = {}
+        self.ready: list[Server] = []
+        self.cells: dict[int, list[Server]] = {}
+        self.uplinks: dict[int, Use] = {}
+        self.mean_slots = self.mean_link = 1.0
+
+    def apply(self, event: api.ServerList) -> list[Server]:
+        """Take over a list; returns the servers that it shows to have started anew."""
+        restarted = []
+        if event.complete:
+            named = {entry.server for entry in event.entries}
+            for server in self.servers.values():
+                if server.entry.server not in named:
+                    server.entry = replace(server.entry, state=api.State.GONE)
+        for entry in event.entries:
+            server = self._server(entry)
+            if entry.state is api.State.READY and entry.started > 0:
+                restarted.append(server)
+            server.entry = entry
+        self.ready = [x for x in self.servers.values() if x.entry.state is api.State.READY]
+        self.cells = {}
+        for server in self.ready:
+            self.cells.setdefault(server.entry.cell, []).append(server)
+        self.mean_slots = _mean(x.slots for x in self.ready)
+        self.mean_link = _mean(x.link.size for x in self.ready)
+        return restarted
+
+    def _server(self, entry: api.ServerEntry) -> Server:
+        known, s = self.servers.get(entry.server), self.settings
+        if known is not None and entry.started <= known.entry.started:
+            return known
+        rack = entry.cell % s.racks
+        if known is not None:  # the same server, started anew: what was read of it no longer holds
+            known.link, known.streams = Use(known.link.size), None
+            return known
+        slots = s.streams[min(entry.kind, len(s.streams) - 1)] if s.streams else math.inf
+        uplink = self.uplinks.setdefault(rack, Use(s.rack_link))
+        server = Server(entry, Use(s.link_per_weight * (entry.weight or 1.0)), uplink, slots)
+        return self.servers.setdefault(entry.server, server)
+
+    def holders(self, request: api.SessionRequest) -> list[Server]:
+        """The ready servers that hold a title."""
+        cells = self.settings.cells
+        row = ((request.home + j) % cells for j in range(min(request.holders, cells)))
+        return [server for cell in row for server in self.cells.get(cell, ())]
+
+
+class Window:
+    """Times of the same kind, counted over the last seconds."""
+
+    def __init__(self) -> None:
+        self.times: deque[float] = deque()
+
+    def add(self, now: float) -> None:
+        self.times.append(now)
+
+    def count(self, now: float, length: float) -> int:
+        while self.times and self.times[0] <= now - length:
+            self.times.popleft()
+        return len(self.times)
+
+
+def _mean(values: Iterable[float]) -> float:
+    listed = list(values)
+    return (sum(listed) / len(listed) if listed else 0.0) or 1.0
