--- a/otterglade/policy.py
+++ b/otterglade/policy.py
@@ -124,7 +124,10 @@
         if not session.tried or window <= 0:
             return True
         taken = self.taken.count(self.now, window)
-        return self.further.count(self.now - 1e-3, window) + 1 <= self.s.budget_free + self.s.budget_share * taken
+        return (
+            self.further.count(self.now - 1e-3, window) + 1
+            <= self.s.budget_free + self.s.budget_share * taken
+        )
 
     def _terms_allow(self, session: Session, server: Server) -> bool:
         """Whether a further attempt may go here, given one that may have run."""
@@ -134,7 +137,9 @@
         if terms.effect is api.Effect.UNSAFE or self.now > session.sent_at + terms.dedup_window:
             return False
         a, b = ran.entry, server.entry
-        return {api.Group.ALL: True, api.Group.ZONE: a.zone == b.zone, api.Group.CELL: a.cell == b.cell}[terms.group]
+        return {api.Group.ALL: True, api.Group.ZONE: a.zone == b.zone, api.Group.CELL: a.cell == b.cell}[
+            terms.group
+        ]
 
     def _choose(self, session: Session) -> tuple[Server | None, float]:
         """The holder with the least C/W that the guards admit; else how long until one may be admitted."""
@@ -195,7 +200,9 @@
             self.further.add(self.now)
         if server.trips and self.now >= server.open_until:
             server.trial = session.number
-        pace = server.slots / max(self.s.cold, 1e-3) * self.s.start_capacity * self.s.overload_factor * COLD_PART
+        pace = (
+            server.slots / max(self.s.cold, 1e-3) * self.s.start_capacity * self.s.overload_factor * COLD_PART
+        )
         server.next_turn = self.now + self.s.gateways / max(pace, 1e-3)
         session.tried.append(server.entry.server)
         session.sent_at = self.now
@@ -238,7 +245,9 @@
         """Whether a step to this rung earns its cost in what is left of the session."""
         played, hint = self.now - session.started, session.request.hint
         left = max(played if hint is None else hint - played, HINT_TRUST * played)
-        return (self.s.ladder_worth[rung] - self.s.ladder_worth[rung - 1]) * left > PAYBACK * self.s.switch_cost
+        return (
+            self.s.ladder_worth[rung] - self.s.ladder_worth[rung - 1]
+        ) * left > PAYBACK * self.s.switch_cost
 
     # While sessions play: the beat, climbs and swaps, short delivery
 
@@ -258,7 +267,7 @@
                 self._climb(server)
 
     def _climb(self, server: Server) -> None:
-        """Step up the session that earns most for each kB: into free room, or into the place of another's step."""
+        """Step up the session that earns most for each kB: into free room, or in place of one that earns less."""
         playing = [x for x in server.sessions.values() if x.playing]
         able = [x for x in playing if x.rung < x.top and self._pays(x, x.rung + 1)]
         if not able:
@@ -397,7 +406,7 @@
         return in_time and len(session.tried) < self.s.max_attempts
 
     def _give_up(self, session: Session, wait: float = 0.0) -> None:
-        """The final answer, at once: refused with a time to come back where nothing can have run, else failed."""
+        """The final answer, at once: refused where nothing can have run, else failed."""
         effect, group = session.terms.effect, session.terms.group
         harmless = effect is api.Effect.SAFE or (effect is api.Effect.KEYED and group is api.Group.ALL)
         if session.may_have_run is None or harmless:
--- /dev/null
+++ b/tests/test_policy.py
@@ -0,0 +1,143 @@
+"""The module's decisions, one at a time."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from otterglade import interface as api
+
+from .helpers import FILM, PAID, SITE, answers, ended, entry, fleet, request, rungs, sent
+
+
+def test_limits_of_the_module() -> None:
+    text = (Path(__file__).parent.parent / "otterglade" / "policy.py").read_text().splitlines()
+    assert sum(1 for line in text if line.strip()) <= 400
+    assert max(map(len, text)) <= 110
+
+
+def test_each_session_goes_to_the_least_own_sessions_over_weight() -> None:
+    controller = fleet()
+    first = [sent(controller.handle(1000.1, request(n)))[0] for n in range(4)]
+    assert sorted(first) == [0, 1, 2, 3]
+
+
+def test_ties_go_to_the_larger_weight() -> None:
+    controller = fleet(SITE, entry(0), entry(1), entry(2, weight=3.0), entry(3))
+    assert sent(controller.handle(1000.1, request(1))) == [2]
+
+
+def test_a_busy_server_has_less_weight() -> None:
+    controller = fleet()
+    for server in range(3):
+        controller.handle(1000.1, api.LoadNote(server, api.Load(link=0.85)))
+    assert sent(controller.handle(1000.2, request(1))) == [3]
+
+
+@pytest.mark.parametrize(("used", "least", "most"), [(0.2, 3, 4), (0.89, 0, 1), (1.2, 0, 0)])
+def test_the_first_rung_fits_the_room(used: float, least: int, most: int) -> None:
+    controller = fleet()
+    for server in range(4):
+        controller.handle(1000.1, api.LoadNote(server, api.Load(link=used, uplink=used)))
+    [(_, rung)] = rungs(controller.handle(1000.2, request(1)))
+    assert least <= rung <= most
+
+
+def test_floor_and_top_hold() -> None:
+    controller = fleet()
+    [(_, rung)] = rungs(controller.handle(1000.1, request(1, top=2)))
+    assert rung == 2
+    for server in range(4):
+        controller.handle(1000.1, api.LoadNote(server, api.Load(link=1.5)))
+    [(_, rung)] = rungs(controller.handle(1000.2, request(2, lane=1)))
+    assert rung == PAID.floor
+
+
+def test_short_delivery_steps_down_highest_first_and_then_waits() -> None:
+    controller = fleet(SITE, entry(0))
+    for n in (1, 2):
+        controller.handle(1000.1, request(n, top=4 if n == 1 else 2))
+        controller.handle(1000.2, api.SessionPlays(n, 0, 0, 0.1))
+    steps = rungs(controller.handle(1003.0, api.DeliveryNote(0, 0.9)))
+    assert steps and steps[0][0] == 1
+    assert not rungs(controller.handle(1003.1, api.DeliveryNote(0, 0.9)))
+
+
+def test_a_paid_set_up_is_never_repeated_or_refused_after_it_may_have_run() -> None:
+    controller = fleet()
+    [server] = sent(controller.handle(1000.1, request(1, lane=1)))
+    actions = controller.handle(1001.0, ended(1, server, api.Outcome.TIMED_OUT))
+    assert answers(actions) == ["Fail"] and not sent(actions)
+
+
+def test_a_paid_set_up_that_never_ran_is_tried_elsewhere() -> None:
+    controller = fleet()
+    [server] = sent(controller.handle(1000.1, request(1, lane=1)))
+    [other] = sent(controller.handle(1000.2, ended(1, server, api.Outcome.REFUSED)))
+    assert other != server
+
+
+def test_seats_are_counted_from_the_set_up() -> None:
+    controller = fleet()
+    for n in (1, 2):
+        assert sent(controller.handle(1000.1, request(n, lane=1)))
+    assert answers(controller.handle(1000.1, request(3, lane=1))) == ["Refuse"]
+    assert sent(controller.handle(1000.1, request(4, lane=1, title="b")))
+
+
+def test_waiting_sessions_do_not_break_the_attempt_budget() -> None:
+    """Found on cairo rules-1: the budget was checked at an outcome, the attempt sent later."""
+    site = replace(SITE, budget_window=5.0, budget_free=1.0, budget_share=0.1)
+    controller = fleet(site)
+    servers = {n: sent(controller.handle(1000.1, request(n, title=str(n))))[0] for n in range(8)}
+    further = 0
+    for n, server in servers.items():
+        further += len(sent(controller.handle(1000.3, ended(n, server, api.Outcome.BUSY))))
+    assert further == 1
+
+
+def test_nothing_new_goes_to_a_draining_server() -> None:
+    controller = fleet(SITE, entry(0), entry(1))
+    controller.handle(1001.0, api.ServerList((entry(0, state=api.State.DRAINING),), complete=False))
+    assert {sent(controller.handle(1001.0, request(n)))[0] for n in range(5)} == {1}
+
+
+def test_a_cold_server_is_paced() -> None:
+    controller = fleet(SITE, entry(0), entry(1))
+    controller.handle(1001.0, api.ServerList((entry(1, started=1000.5),), complete=False))
+    to = [sent(controller.handle(1001.0, request(n)))[0] for n in range(8)]
+    assert to.count(1) == 1
+
+
+def test_a_dead_server_is_left_alone_and_tried_by_one() -> None:
+    controller = fleet(SITE, entry(0), entry(1))
+    [server] = sent(controller.handle(1000.1, request(1)))
+    controller.handle(1000.2, ended(1, server, api.Outcome.RESET))
+    other = 1 - server
+    assert {sent(controller.handle(1000.3, request(n)))[0] for n in range(10, 14)} == {other}
+    later = [sent(controller.handle(1009.0, request(n)))[0] for n in range(20, 24)]
+    assert later.count(server) == 1
+
+
+def test_identical_events_give_identical_actions() -> None:
+    def run() -> list[api.Action]:
+        controller = fleet()
+        return [action for n in range(30) for action in controller.handle(1000.1 + n / 10, request(n))]
+
+    assert run() == run()
+
+
+@pytest.mark.parametrize(
+    ("changes", "field"),
+    [
+        ({"ladder": ()}, "ladder"),
+        ({"classes": ()}, "classes"),
+        ({"classes": (replace(FILM, floor=9),)}, "floor"),
+        ({"gateways": 0}, "gateways"),
+    ],
+)
+def test_bad_settings_are_named(changes: dict[str, object], field: str) -> None:
+    with pytest.raises(ValueError, match=field):
+        replace(SITE, **changes)  # type: ignore[arg-type]
