--- a/otterglade/drill.py
+++ b/otterglade/drill.py
@@ -28,7 +28,7 @@
 }  # fmt: skip
 
 
-class BadLine(ValueError):
+class BadLineError(ValueError):
     """A known message that can't be read."""
 
 
@@ -259,7 +259,7 @@
             self.open_table = (int(values[0]), int(values[1]), [])
             return []
         if self.open_table is None or len(values) != 7:
-            raise BadLine("an entry outside a table, or with a wrong field count")
+            raise BadLineError("an entry outside a table, or with a wrong field count")
         number, size, entries = self.open_table
         entries.append(_entry(values))
         if len(entries) == size:
@@ -269,7 +269,7 @@
     def _instance_line(self, now: float, word: str, values: list[str]) -> list[str]:
         count = FIELDS[word]
         if count is not None and len(values) != count:
-            raise BadLine(f"{count} values expected")
+            raise BadLineError(f"{count} values expected")
         instance = int(values[0])
         if word == "KILLED":
             self.controllers.pop(instance, None)
--- a/otterglade/policy.py
+++ b/otterglade/policy.py
@@ -267,7 +267,7 @@
                 self._climb(server)
 
     def _climb(self, server: Server) -> None:
-        """Step up the session that earns most for each kB: into free room, or in place of one that earns less."""
+        """Step up what earns most for each kB: into free room, or in place of what earns less."""
         playing = [x for x in server.sessions.values() if x.playing]
         able = [x for x in playing if x.rung < x.top and self._pays(x, x.rung + 1)]
         if not able:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -16,7 +16,8 @@
 SITE = api.Settings(
     gateways=2, zone=0, classes=(FILM, PAID), tenants=(), over_share_worth=1.0,
     ladder=(200.0, 400.0, 700.0, 1200.0, 2000.0), ladder_worth=(0.25, 0.45, 0.65, 0.83, 1.0), cells=4,
-    racks=2, rack_link=40_000.0, link_per_weight=20_000.0, streams=(40, 80), refuses_from=0.0, shared_adds=1.0,
+    racks=2, rack_link=40_000.0, link_per_weight=20_000.0, streams=(40, 80), refuses_from=0.0,
+    shared_adds=1.0,
     note_delay=0.5, note_interval=2.0, stall=7.0, switch_cost=0.5, reported=("x0", "x1"),
     reports_by_probe=False, probes=False, probe_price=0.0, move_price=0.2, zone_price=0.0, max_attempts=3,
     max_retry_after=1.0, connect_timeout=0.25, cold=10.0, start_capacity=0.5, overload_factor=3.0, fall=2.0,
