A rack's uplink is one pool; a new session takes a step from a much higher one

Now room is shared out once a reading, less own changes since; relief and climbs look at all own sessions of a rack; at set-up one step of a much higher session pays for the new one. The weight's link factor leads (0.9).

--- a/otterglade/policy.py
+++ b/otterglade/policy.py
@@ -17,14 +17,14 @@
 import random
 
 from . import interface as api
-from .state import Fleet, Server, Session, Window
+from .state import Fleet, Server, Session, Use, Window
 
-RHO_STREAMS, RHO_LINK = 0.5, 0.5  # proportion factors of the weight; they sum to 1
+RHO_STREAMS, RHO_LINK = 0.1, 0.9  # proportion factors of the weight, summing to 1: links bind, not places
 TARGET = 0.90  # share of a link to fill: true rates vary by a fifth, and running short costs `stall` times
 SHORT = 0.98  # delivered share under which sessions lose worth, by the servers' contract
 PRESSURE = 1.02  # reported use that counts as a note of short delivery: over 1 by the noise of one report
 HINT_TRUST = 0.3  # least remaining length, as a share of the time played: hints are rough
-PAYBACK = 20  # a change of rung must earn this multiple of what it costs
+PAYBACK = 8.0  # a change of rung must earn this multiple of what it costs
 SWAP_GAIN = 1.2  # a swap's gain in worth a kB over its loss: hysteresis against swapping back
 DEVIATIONS = 6.0  # a set-up is overdue this many mean deviations over its mean time
 TRIES_IN_GOAL = 3.0  # the shortest time-out leaves room for so many tries within the goal
@@ -72,7 +72,7 @@
             case api.SessionPlays():
                 self._plays(event)
             case api.DeliveryNote(server, share):
-                self._short(self.fleet.servers.get(server), share)
+                self._noted(self.fleet.servers.get(server), share)
             case api.LoadNote(server, load):
                 self._loaded(self.fleet.servers.get(server), load)
             case api.RungNote(number, rung):
@@ -174,13 +174,13 @@
 
     def _used(self, server: Server) -> float:
         """Use of the tighter of a server's link and its rack's uplink."""
-        own = server.own_rate * self.s.gateways / server.link.size
+        own = server.link.own_rate * self.s.gateways / server.link.size
         return max(server.link.estimate(own), server.uplink.estimate(0.0))
 
     def _is_full(self, server: Server) -> bool:
         """It turns set-ups away, or delivers short: a further session takes from all that play there."""
         limit = min(self.s.refuses_from or math.inf, 1.0)
-        return self.now < max(server.full_until, server.settle_until) or self._used(server) >= limit
+        return self.now < max(server.full_until, server.link.settle_until) or self._used(server) >= limit
 
     def _closed(self, server: Server, session: Session) -> bool:
         """Circuit breaker: once its time is up, single set-ups that may be repeated are let through."""
@@ -218,18 +218,48 @@
 
     # Rungs
 
+    def _part(self, use: Use) -> float:
+        """This gateway's part of the room that was last read, less what it has taken of it since."""
+        if use.size <= 0:
+            return math.inf
+        if use.value is None:
+            return TARGET * use.size / self.s.gateways - use.own_rate
+        return (TARGET - use.value) * use.size / self.s.gateways - use.own_change
+
     def _room(self, server: Server) -> float:
-        """This gateway's part of the free room of link and uplink; negative when over target."""
-        own = server.own_rate * self.s.gateways / server.link.size
-        room = (TARGET - server.link.estimate(own)) * server.link.size
-        if self.s.rack_link > 0:
-            room = min(room, (TARGET - server.uplink.estimate(0.0)) * self.s.rack_link)
-        return room / self.s.gateways
+        """The free room of link and uplink for this gateway; negative when over target."""
+        return min(self._part(server.link), self._part(server.uplink))
 
     def _fitting(self, session: Session, server: Server) -> int:
-        room, floor = self._room(server), session.terms.floor
-        rungs = range(session.top, floor, -1)
-        return next((x for x in rungs if server.rate_of(session, x, self.s) <= room), floor)
+        """The highest rung that fits; a much higher session gives way a step where that earns more."""
+        rung = self._fits(session, server, self._room(server))
+        for use in (server.uplink, server.link):
+            high = self._highest(use)
+            if high is None or high.server is None or high.rung < rung + 2 or rung >= session.top:
+                continue
+            freed = high.rate - high.server.rate_of(high, high.rung - 1, self.s)
+            uses = (server.link, server.uplink)
+            better = self._fits(
+                session, server, min(self._part(x) + freed * (high.number in x.sessions) for x in uses)
+            )
+            gain = (
+                self._step_worth(session, better) / self._step_worth(high, high.rung)
+                if better > rung
+                else 0.0
+            )
+            if gain > SWAP_GAIN:
+                self._set_rung(high, high.server, high.rung - 1)
+                rung = better
+        return rung
+
+    def _fits(self, session: Session, server: Server, room: float) -> int:
+        rungs = range(session.top, session.terms.floor, -1)
+        return next((x for x in rungs if server.rate_of(session, x, self.s) <= room), session.terms.floor)
+
+    def _highest(self, use: Use) -> Session | None:
+        """Of this gateway's playing sessions there, the one to step down first."""
+        able = [x for x in use.sessions.values() if x.playing and x.rung > x.terms.floor]
+        return min(able, key=lambda x: (-x.rung, self._step_worth(x, x.rung))) if able else None
 
     def _set_rung(self, session: Session, server: Server, rung: int) -> None:
         server.put(session, rung, self.now, self.s)
@@ -262,47 +292,42 @@
             return
         self._beat_in(self.s.note_delay * (0.75 + 0.5 * self.random.random()))
         self._probe_some()
-        for server in self.fleet.servers.values():
-            if server.sessions and self.now >= max(server.settle_until, server.climb_after):
-                self._climb(server)
-
-    def _climb(self, server: Server) -> None:
-        """Step up what earns most for each kB: into free room, or in place of what earns less."""
-        playing = [x for x in server.sessions.values() if x.playing]
-        able = [x for x in playing if x.rung < x.top and self._pays(x, x.rung + 1)]
-        if not able:
-            return
-        low = max(able, key=lambda x: self._step_worth(x, x.rung + 1))
-        need, room = server.rate_of(low, low.rung + 1, self.s) - low.rate, self._room(server)
-        if need <= room:
-            self._set_rung(low, server, low.rung + 1)
-            return
-        high = [x for x in playing if x.rung > max(low.rung + 1, x.terms.floor)]
-        if not high:
-            return
-        other = min(high, key=lambda x: (-x.rung, self._step_worth(x, x.rung)))
-        freed = other.rate - server.rate_of(other, other.rung - 1, self.s)
-        gain = self._step_worth(low, low.rung + 1) > SWAP_GAIN * self._step_worth(other, other.rung)
-        if gain and need <= freed + max(0.0, room):
-            self._set_rung(other, server, other.rung - 1)
-            self._set_rung(low, server, low.rung + 1)
-
-    def _short(self, server: Server | None, share: float) -> None:
-        """A server delivers short: this gateway covers the missing share of its own rates, highest first."""
-        if server is None or share >= SHORT or self.now < server.settle_until:
+        for use in self.fleet.uplinks.values():
+            if self.now >= max(use.settle_until, use.climb_after):
+                self._climb(use)
+
+    def _climb(self, uplink: Use) -> None:
+        """Step up, of a rack's sessions, what earns most for each kB, while the room holds it."""
+        able = [
+            x for x in uplink.sessions.values() if x.playing and x.rung < x.top and self._pays(x, x.rung + 1)
+        ]
+        for session in sorted(able, key=lambda x: -self._step_worth(x, x.rung + 1)):
+            server = session.server
+            if server is None or self.now < max(server.link.settle_until, server.link.climb_after):
+                continue
+            if server.rate_of(session, session.rung + 1, self.s) - session.rate <= self._room(server):
+                self._set_rung(session, server, session.rung + 1)
+
+    def _short(self, use: Use, share: float) -> None:
+        """Short delivery: this gateway covers the missing share of its own rates there, highest first."""
+        if share >= SHORT or self.now < use.settle_until:
             return
-        need = server.own_rate * (1.0 - TARGET * max(share, 0.5))
+        need = use.own_rate * (1.0 - TARGET * max(share, 0.5))
         while need > 0:
-            able = [x for x in server.sessions.values() if x.playing and x.rung > x.terms.floor]
-            if not able:
+            session = self._highest(use)
+            if session is None or session.server is None:
                 break
-            session = min(able, key=lambda x: (-x.rung, self._step_worth(x, x.rung)))
             need -= session.rate
-            self._set_rung(session, server, session.rung - 1)
+            self._set_rung(session, session.server, session.rung - 1)
             need += session.rate
         wait = 2.0 * self.s.note_delay + 1.0
-        server.settle_until = self.now + wait * (1.0 + 0.2 * self.random.random())
-        server.climb_after = server.settle_until + wait * self.random.random()
+        use.settle_until = self.now + wait * (1.0 + 0.2 * self.random.random())
+        use.climb_after = use.settle_until + wait * self.random.random()
+
+    def _noted(self, server: Server | None, share: float) -> None:
+        """A note of short delivery; where the rack is being relieved already, it tells of that."""
+        if server is not None and self.now >= server.uplink.settle_until:
+            self._short(server.link, share)
 
     # What is told
 
@@ -315,9 +340,9 @@
             server.link.read(load.link, self.now, self.s.note_delay)
         if load.uplink is not None:
             server.uplink.read(load.uplink, self.now, self.s.note_delay)
-        worst = max(load.link or 0.0, load.uplink or 0.0)
-        if worst > PRESSURE:
-            self._short(server, 1.0 / worst)
+        for use, value in ((server.uplink, load.uplink), (server.link, load.link)):
+            if value is not None and value > PRESSURE:
+                self._short(use, 1.0 / value)
 
     def _probe_some(self) -> None:
         """Where load is told to probes only: one probe for each session taken, to the longest unheard."""
--- a/otterglade/state.py
+++ b/otterglade/state.py
@@ -18,6 +18,19 @@
     value: float | None = None
     at: float = -math.inf
     changes: deque[tuple[float, float]] = field(default_factory=deque)
+    sessions: dict[int, Session] = field(default_factory=dict)
+    """This gateway's own sessions on it."""
+    settle_until: float = -math.inf
+    climb_after: float = -math.inf
+
+    @property
+    def own_rate(self) -> float:
+        return sum(session.rate for session in self.sessions.values())
+
+    @property
+    def own_change(self) -> float:
+        """What this gateway has added since the last reading."""
+        return sum(rate for _, rate in self.changes)
 
     def read(self, value: float, now: float, lag: float) -> None:
         self.value, self.at = value, now
@@ -28,7 +41,7 @@
         """Asked over given, with own changes since; `unheard` where nothing was ever read."""
         if self.value is None or self.size <= 0:
             return unheard
-        return max(0.0, self.value + sum(rate for _, rate in self.changes) / self.size)
+        return max(0.0, self.value + self.own_change / self.size)
 
 
 @dataclass(slots=True, eq=False)
@@ -67,7 +80,6 @@
     uplink: Use
     """The same object for all servers of a rack."""
     slots: float
-    sessions: dict[int, Session] = field(default_factory=dict)
     streams: float | None = None
     heard: float = -math.inf
     cold_until: float = -math.inf
@@ -76,13 +88,11 @@
     trips: int = 0
     last_sign: float = -math.inf
     trial: int | None = None
-    settle_until: float = -math.inf
-    climb_after: float = -math.inf
     full_until: float = -math.inf
 
     @property
-    def own_rate(self) -> float:
-        return sum(session.rate for session in self.sessions.values())
+    def sessions(self) -> dict[int, Session]:
+        return self.link.sessions
 
     def rate_of(self, session: Session, rung: int, settings: api.Settings) -> float:
         """What a session asks of the link at a rung: a further viewer of a shared live stream adds less."""
@@ -96,14 +106,15 @@
 
     def put(self, session: Session, rung: int, now: float, settings: api.Settings) -> None:
         """Book a session, new here or not, at a rung."""
-        self.sessions[session.number] = session
+        self.link.sessions[session.number] = self.uplink.sessions[session.number] = session
         session.server = self
         self._book(session, self.rate_of(session, rung, settings), now)
         session.rung = rung
 
     def drop(self, session: Session, now: float) -> None:
         self._book(session, 0.0, now)
-        self.sessions.pop(session.number, None)
+        self.link.sessions.pop(session.number, None)
+        self.uplink.sessions.pop(session.number, None)
         session.server = None
 
     def _book(self, session: Session, rate: float, now: float) -> None:
@@ -150,7 +161,8 @@
             return known
         rack = entry.cell % s.racks
         if known is not None:  # the same server, started anew: what was read of it no longer holds
-            known.link, known.streams = Use(known.link.size), None
+            known.link.value, known.streams = None, None
+            known.link.changes.clear()
             return known
         slots = s.streams[min(entry.kind, len(s.streams) - 1)] if s.streams else math.inf
         uplink = self.uplinks.setdefault(rack, Use(s.rack_link))
