--- a/otterglade/policy.py
+++ b/otterglade/policy.py
@@ -20,7 +20,7 @@
 from .state import Fleet, Server, Session, Use, Window
 
 RHO_STREAMS, RHO_LINK = 0.1, 0.9  # proportion factors of the weight, summing to 1: links bind, not places
-TARGET = 0.90  # share of a link to fill: true rates vary by a fifth, and running short costs `stall` times
+TARGET = 0.95  # share of a link to fill: true rates vary from second to second, and running short costs `stall` times
 SHORT = 0.98  # delivered share under which sessions lose worth, by the servers' contract
 PRESSURE = 1.02  # reported use that counts as a note of short delivery: over 1 by the noise of one report
 HINT_TRUST = 0.3  # least remaining length, as a share of the time played: hints are rough
