--- a/otterglade/policy.py
+++ b/otterglade/policy.py
@@ -17,7 +17,7 @@
 import random
 
 from . import interface as api
-from .state import Fleet, Server, Session, Use, Window
+from .state import Fleet, Ledger, Server, Session, Use
 
 RHO_STREAMS, RHO_LINK = 0.1, 0.9  # proportion factors of the weight, summing to 1: links bind, not places
 TARGET = 0.95  # share of a link to fill: true rates vary by the second, and running short costs `stall` times
@@ -30,6 +30,7 @@
 TRIES_IN_GOAL = 3.0  # the shortest time-out leaves room for so many tries within the goal
 COLD_PART = 0.5  # part of the pace at which a cold server falls that all gateways together may use
 BREAK_BASE = 4.0  # connect time-outs for which a breaker first opens; doubled at each further sign
+PROBES = 1.0  # probes for each session taken: a probe is priced by the session
 NOTE_AGE = 5.0  # note delays that a smoothed note of short delivery looks back
 SETTLE = 2.0  # note delays without a climb after a step down: until its effect has been told
 EWMA = 0.2  # weight of the newest set-up time
@@ -46,8 +47,7 @@
         self.fleet = Fleet(settings)
         self.sessions: dict[int, Session] = {}
         self.waiting: dict[int, Session] = {}
-        self.taken, self.further = Window(), Window()
-        self.recent = Window()
+        self.taken, self.further = Ledger(), Ledger()
         self.setup_mean, self.setup_dev = 0.0, 0.0
         self.began = self.now = 0.0
         self.out: list[api.Action] = []
@@ -64,21 +64,20 @@
         self.now, self.out = now, []
         match event:
             case api.SessionRequest():
-                session = Session(event, self.s.classes[event.lane], now)
-                self.sessions[event.session] = session
-                self.taken.add(now)
-                self.recent.add(now)
-                self._place(session)
+                self._request(event)
             case api.AttemptEnded():
                 self._ended(event)
             case api.SessionPlays():
                 self._plays(event)
             case api.DeliveryNote(server, share):
-                self._noted(self.fleet.servers.get(server), share)
+                if server in self.fleet.servers:
+                    self._short(self.fleet.servers[server].link, share)
             case api.LoadNote(server, load):
                 self._loaded(self.fleet.servers.get(server), load)
             case api.RungNote(number, rung):
-                self._rung_is(number, rung)
+                session = self.sessions.get(number)
+                if session and session.server:
+                    session.server.put(session, rung, now, self.s)
             case api.TimerFired(token):
                 self._timer(token)
             case api.ServerList():
@@ -100,20 +99,30 @@
 
     # A request: guards, choice, set-up
 
+    def _request(self, request: api.SessionRequest) -> None:
+        session = Session(request, self.s.classes[request.lane], self.now)
+        self.sessions[request.session] = session
+        self.taken.add(self.now, 1.0)
+        self._place(session)
+
     def _place(self, session: Session) -> None:
         """Send a session to a holder, let it wait for its turn at a cold one, or turn it away."""
         if not self._seat_free(session) or not self._budget_allows(session):
             self._give_up(session)
             return
         server, wait = self._choose(session)
-        if server is not None:
+        if server is not None and not any(self._starved(x) for x in (server.link, server.uplink)):
             self._send(session, server)
-        elif self.now + wait < session.taken + session.terms.goal / 2:
+        elif server is None and self.now + wait < session.taken + session.terms.goal / 2:
             self.waiting[session.number] = session
             self.out.append(api.SetTimer(session.number << 1 | WAIT, self.now + wait))
         else:
             self._give_up(session, wait)
 
+    def _starved(self, use: Use) -> bool:
+        """It delivers short with all own sessions on their floors: one more would cost them more than it earns."""
+        return use.estimate(0.0) > 1.0 / SHORT and self._highest(use) is None
+
     def _seat_free(self, session: Session) -> bool:
         mine = (session.request.lane, session.request.title)
         seats = session.terms.seats
@@ -125,11 +134,10 @@
         window = self.s.budget_window
         if not session.tried or window <= 0:
             return True
-        taken = self.taken.count(self.now, window)
-        return (
-            self.further.count(self.now - 1e-3, window) + 1
-            <= self.s.budget_free + self.s.budget_share * taken
+        taken, further = (
+            x.since(self.now - window + e) for x, e in ((self.taken, 1e-3), (self.further, -1e-3))
         )
+        return further + 1 <= self.s.budget_free + self.s.budget_share * taken
 
     def _terms_allow(self, session: Session, server: Server) -> bool:
         """Whether a further attempt may go here, given one that may have run."""
@@ -138,10 +146,9 @@
             return True
         if terms.effect is api.Effect.UNSAFE or self.now > session.sent_at + terms.dedup_window:
             return False
-        a, b = ran.entry, server.entry
-        return {api.Group.ALL: True, api.Group.ZONE: a.zone == b.zone, api.Group.CELL: a.cell == b.cell}[
-            terms.group
-        ]
+        if terms.group is api.Group.ZONE:
+            return ran.entry.zone == server.entry.zone
+        return terms.group is api.Group.ALL or ran.entry.cell == server.entry.cell
 
     def _choose(self, session: Session) -> tuple[Server | None, float]:
         """The holder with the least C/W that the guards admit; else how long until one may be admitted."""
@@ -199,7 +206,7 @@
 
     def _send(self, session: Session, server: Server) -> None:
         if session.tried:
-            self.further.add(self.now)
+            self.further.add(self.now, 1.0)
         if server.trips and self.now >= server.open_until:
             server.trial = session.number
         pace = (
@@ -333,10 +340,6 @@
 
     # What is told
 
-    def _noted(self, server: Server | None, share: float) -> None:
-        if server is not None:
-            self._short(server.link, share)
-
     def _loaded(self, server: Server | None, load: api.Load | None) -> None:
         if server is None or load is None:
             return
@@ -354,7 +357,8 @@
         """Where load is told to probes only: one probe for each session taken, to the longest unheard."""
         if not (self.s.probes and self.s.reports_by_probe):
             return
-        count = self.recent.count(self.now, self.s.cold) / max(self.s.cold, 1e-3) * self.s.note_delay
+        span = max(self.s.cold, 1e-3)
+        count = PROBES * self.taken.since(self.now - span) / span * self.s.note_delay
         whole = int(count) + (self.random.random() < count % 1.0)
         for server in sorted(self.fleet.ready, key=lambda x: x.link.at)[:whole]:
             server.link.at = self.now
@@ -404,11 +408,6 @@
         session.tried.append(event.server)
         server.put(session, session.terms.floor, self.now, self.s)
 
-    def _rung_is(self, number: int, rung: int) -> None:
-        session = self.sessions.get(number)
-        if session is not None and session.server is not None:
-            session.server.put(session, rung, self.now, self.s)
-
     def _ended(self, event: api.AttemptEnded) -> None:
         session, server = self.sessions.get(event.session), self.fleet.servers.get(event.server)
         if server is not None:
--- a/otterglade/state.py
+++ b/otterglade/state.py
@@ -9,7 +9,7 @@
 
 from . import interface as api
 
-KEEP = 10.0  # seconds that amounts are kept: longer than any note or report is late
+KEEP = 60.0  # seconds that amounts are kept: longer than any look back
 
 
 class Ledger:
@@ -196,21 +196,6 @@
         return [server for cell in row for server in self.cells.get(cell, ())]
 
 
-class Window:
-    """Times of the same kind, counted over the last seconds."""
-
-    def __init__(self) -> None:
-        self.times: deque[float] = deque()
-
-    def add(self, now: float) -> None:
-        self.times.append(now)
-
-    def count(self, now: float, length: float) -> int:
-        while self.times and self.times[0] <= now - length:
-            self.times.popleft()
-        return len(self.times)
-
-
 def _mean(values: Iterable[float]) -> float:
     listed = list(values)
     return (sum(listed) / len(listed) if listed else 0.0) or 1.0
