--- a/otterglade/policy.py
+++ b/otterglade/policy.py
@@ -30,7 +30,7 @@
 TRIES_IN_GOAL = 3.0  # the shortest time-out leaves room for so many tries within the goal
 COLD_PART = 0.5  # part of the pace at which a cold server falls that all gateways together may use
 BREAK_BASE = 4.0  # connect time-outs for which a breaker first opens; doubled at each further sign
-PROBES = 1.0  # probes for each session taken: a probe is priced by the session
+PROBES = 0.5  # probes for each session taken: a probe is priced by the session
 NOTE_AGE = 5.0  # note delays that a smoothed note of short delivery looks back
 SETTLE = 2.0  # note delays without a climb after a step down: until its effect has been told
 EWMA = 0.2  # weight of the newest set-up time
@@ -120,8 +120,11 @@
             self._give_up(session, wait)
 
     def _starved(self, use: Use) -> bool:
-        """It delivers short with all own sessions on their floors: one more would cost them more than it earns."""
-        return use.estimate(0.0) > 1.0 / SHORT and self._highest(use) is None
+        """Short with all own sessions on their floors: one more would cost them more than it earns.
+
+        Covers any lasting loss of rate. Harm: with a stale reading a session is turned away for nothing.
+        """
+        return bool(use.sessions) and use.estimate(0.0) > 1.0 / SHORT and self._highest(use) is None
 
     def _seat_free(self, session: Session) -> bool:
         mine = (session.request.lane, session.request.title)
