--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,172 @@
+"""The six rules under random legal events, checked by a statement of them that knows nothing of the module.
+
+It judges rules, not service, and models no servers: outcomes are drawn at random; an
+attempt may stay unanswered until the viewer's patience ends.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from otterglade import interface as api
+from otterglade.policy import Controller
+
+from .helpers import SITE, entry, request
+
+VARIANTS = {
+    "paid and seats": SITE,
+    "budget": replace(SITE, budget_window=5.0, budget_free=1.0, budget_share=0.2),
+    "plain": replace(SITE, classes=(SITE.classes[0], SITE.classes[0])),
+}
+OUTCOMES = [*api.Outcome]
+Step = tuple[int, int, float]
+STEPS = st.lists(st.tuples(st.integers(0, 9), st.integers(0, 99), st.floats(0.0, 1.5)), max_size=80)
+
+
+class Referee:
+    """Feeds a controller and checks each action against the rules."""
+
+    def __init__(self, site: api.Settings, controller: Controller | None = None) -> None:
+        self.site, self.now, self.count = site, 1000.0, 0
+        self.controller = controller or Controller(site, 1)
+        self.open: dict[int, api.SessionRequest] = {}  # owe an answer
+        self.out: dict[int, tuple[int, int]] = {}  # attempt out, or playing: server, number
+        self.playing: set[int] = set()
+        self.numbers: dict[int, int] = {}
+        self.ran: set[int] = set()
+        self.requests: dict[int, api.SessionRequest] = {}
+        self.taken: list[float] = []
+        self.further: list[float] = []
+        self.rung: dict[int, int] = {}
+        self.states = {n: api.State.READY for n in range(4)}
+        self.check(self.controller.start(self.now))
+        self.feed(api.ServerList(tuple(entry(n) for n in range(4)), complete=True, cached=True))
+
+    def feed(self, event: api.Event) -> None:
+        self.check(self.controller.handle(self.now, event))
+
+    def check(self, actions: list[api.Action]) -> None:
+        for action in actions:
+            match action:
+                case api.StartAttempt(session, server, _):
+                    self.sent(session, server)
+                case api.Refuse(session) | api.Fail(session):
+                    assert session in self.open and session not in self.out, "answered twice, or while out"
+                    terms = self.site.classes[self.requests[session].lane]
+                    if isinstance(action, api.Refuse) and terms.effect is api.Effect.UNSAFE:
+                        assert session not in self.ran, "refused though it may have run"
+                    del self.open[session]
+                case api.ChooseRung(session, rung):
+                    terms = self.site.classes[self.requests[session].lane]
+                    top = max(terms.floor, self.requests[session].top)
+                    assert terms.floor <= rung <= top, "rung outside its terms"
+
+    def sent(self, session: int, server: int) -> None:
+        one = self.requests[session]
+        terms = self.site.classes[one.lane]
+        assert session in self.open, "sent after its end"
+        assert session not in self.out, "two attempts at once"
+        assert terms.effect is not api.Effect.UNSAFE or session not in self.ran, "set up twice"
+        assert self.states[server] is api.State.READY, "sent to a server that drains or is gone"
+        number = self.numbers[session] = self.numbers.get(session, -1) + 1
+        assert number < self.site.max_attempts
+        self.out[session] = (server, number)
+        if number and self.site.budget_window:
+            self.further.append(self.now)
+            since = self.now - self.site.budget_window
+            taken = sum(at > since for at in self.taken)
+            allowed = self.site.budget_free + self.site.budget_share * taken
+            assert sum(at > since for at in self.further) <= allowed, "over the budget"
+        if terms.seats:
+            held = [
+                x
+                for x in self.out
+                if self.requests[x].lane == one.lane and self.requests[x].title == one.title
+            ]
+            assert len(held) <= terms.seats, "over the seats"
+
+    def step(self, kind: int, pick: int, wait: float) -> None:
+        self.now += wait * (pick % 3 == 0)
+        waiting = sorted(set(self.out) - self.playing)
+        if kind <= 3:
+            self.count += 1
+            one = request(self.count, lane=pick % 2, title="ab"[pick % 5 // 4])
+            self.requests[self.count] = self.open[self.count] = one
+            self.taken.append(self.now)
+            self.feed(one)
+        elif kind in (4, 5) and waiting:
+            session = waiting[pick % len(waiting)]
+            server, number = self.out[session]
+            self.playing.add(session)
+            self.open.pop(session)
+            self.feed(api.SessionPlays(session, server, number, 0.1))
+        elif kind in (6, 7) and self.out:
+            self.end(sorted(self.out)[pick % len(self.out)], OUTCOMES[pick % len(OUTCOMES)])
+        elif kind == 8:
+            server = pick % 4
+            self.states[server] = [api.State.READY, api.State.DRAINING, api.State.GONE][pick % 3]
+            changed = entry(server, state=self.states[server], started=self.now * (pick % 2))
+            self.feed(api.ServerList((changed,), complete=False))
+        else:
+            self.feed(api.DeliveryNote(pick % 4, wait / 1.5))
+            self.feed(api.TimerFired(0 if pick % 2 else (pick % max(self.count, 1)) << 1 | 1))
+
+    def end(self, session: int, outcome: api.Outcome) -> None:
+        server, number = self.out.pop(session)
+        final = session in self.playing or outcome is api.Outcome.DONE
+        self.playing.discard(session)
+        if final:
+            self.open.pop(session, None)
+        if outcome not in api.NEVER_RAN:
+            self.ran.add(session)
+        self.feed(api.AttemptEnded(session, server, number, outcome, 0.1, final, None))
+
+    def close(self) -> None:
+        """Every session is answered in the end: nothing is left waiting once its patience is over."""
+        for _ in range(self.site.max_attempts + 1):
+            self.now += 5.0
+            for session in sorted(self.open):
+                if session in self.out:
+                    self.end(session, api.Outcome.TIMED_OUT)
+                else:
+                    self.feed(api.TimerFired(session << 1 | 1))
+        assert not self.open, "a session was never answered"
+
+
+@pytest.mark.parametrize("variant", VARIANTS)
+@settings(derandomize=True, max_examples=150, deadline=None)
+@given(steps=STEPS)
+def test_no_rule_breaks(variant: str, steps: list[Step]) -> None:
+    referee = Referee(VARIANTS[variant])
+    for step in steps:
+        referee.step(*step)
+    referee.close()
+
+
+@pytest.mark.parametrize(
+    ("guard", "broken"),
+    [
+        ("_seat_free", lambda *_: True),
+        ("_budget_allows", lambda *_: True),
+        ("_may_try_again", lambda *_: True),
+    ],
+)
+def test_the_referee_sees_a_broken_guard(guard: str, broken: Callable[..., bool]) -> None:
+    class Broken(Controller):
+        pass
+
+    setattr(Broken, guard, broken)
+    if guard == "_may_try_again":
+        Broken._terms_allow = broken  # type: ignore[method-assign]
+
+    site = replace(VARIANTS["budget" if guard == "_budget_allows" else "paid and seats"], max_attempts=9)
+    kinds = [(0, n, 0.0) for n in range(1, 40)] + [(6, n, 0.0) for n in (2, 3, 4) * 20]
+    with pytest.raises(AssertionError, match=r"seats|budget|twice"):
+        referee = Referee(site, Broken(site, 1))
+        for step in kinds:
+            referee.step(*step)
