--- a/otterglade/policy.py
+++ b/otterglade/policy.py
@@ -187,7 +187,8 @@
     def _used(self, server: Server) -> float:
         """Use of the tighter of a server's link and its rack's uplink."""
         own = server.link.own_rate * self.s.gateways / server.link.size
-        return max(server.link.estimate(own), server.uplink.estimate(0.0))
+        unheard = own if server.sessions else self.fleet.heard_mean()
+        return max(server.link.estimate(unheard), server.uplink.estimate(0.0))
 
     def _is_full(self, server: Server) -> bool:
         """It turns set-ups away, or delivers short: a further session takes from all that play there."""
--- a/otterglade/state.py
+++ b/otterglade/state.py
@@ -189,6 +189,11 @@
         server = Server(entry, Use(s.link_per_weight * (entry.weight or 1.0)), uplink, slots)
         return self.servers.setdefault(entry.server, server)
 
+    def heard_mean(self) -> float:
+        """Mean link use of the servers heard; idle where none was."""
+        heard = [x.link.value for x in self.ready if x.link.value is not None]
+        return sum(heard) / len(heard) if heard else 0.0
+
     def holders(self, request: api.SessionRequest) -> list[Server]:
         """The ready servers that hold a title."""
         cells = self.settings.cells
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -153,3 +153,12 @@
 def test_bad_settings_are_named(changes: dict[str, object], field: str) -> None:
     with pytest.raises(ValueError, match=field):
         replace(SITE, **changes)  # type: ignore[arg-type]
+
+
+def test_an_unheard_server_gets_the_heard_mean() -> None:
+    """An unheard server must not look idle beside heard ones and draw every session."""
+    controller = fleet(SITE, entry(0), entry(1), entry(2), warm=False)
+    for server, used in ((0, 0.3), (1, 0.7)):
+        controller.handle(1000.1, api.LoadNote(server, api.Load(link=used)))
+    order = [sent(controller.handle(1000.2, request(n)))[0] for n in range(3)]
+    assert order[:2] == [0, 2]
