--- a/otterglade/policy.py
+++ b/otterglade/policy.py
@@ -71,7 +71,10 @@
                 self._plays(event)
             case api.DeliveryNote(server, share):
                 if server in self.fleet.servers:
-                    self._short(self.fleet.servers[server].link, share)
+                    link = self.fleet.servers[server].link
+                    if self.s.reports_by_probe and share < SHORT:  # a reading that costs no probe
+                        link.read(1.0 / max(share, 0.1), now, self.s.note_delay)
+                    self._short(link, share)
             case api.LoadNote(server, load):
                 self._loaded(self.fleet.servers.get(server), load)
             case api.RungNote(number, rung):
@@ -255,12 +258,8 @@
             better = self._fits(
                 session, server, min(self._part(x) + freed * (high.number in x.sessions) for x in uses)
             )
-            gain = (
-                self._step_worth(session, better) / self._step_worth(high, high.rung)
-                if better > rung
-                else 0.0
-            )
-            if gain > SWAP_GAIN:
+            loss = SWAP_GAIN * self._step_worth(high, high.rung)
+            if better > rung and self._step_worth(session, better) > loss:
                 self._set_rung(high, high.server, high.rung - 1)
                 rung = better
         return rung
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -162,3 +162,11 @@
         controller.handle(1000.1, api.LoadNote(server, api.Load(link=used)))
     order = [sent(controller.handle(1000.2, request(n)))[0] for n in range(3)]
     assert order[:2] == [0, 2]
+
+
+def test_a_note_of_short_delivery_is_a_reading_where_only_probes_tell_load() -> None:
+    """Found on cairo overload: servers read as idle seconds ago were sent sessions while they ran short."""
+    site = replace(SITE, reports_by_probe=True, probes=True)
+    controller = fleet(site, entry(0), entry(1))
+    controller.handle(1000.1, api.DeliveryNote(0, 0.7))
+    assert {sent(controller.handle(1009.0, request(n)))[0] for n in range(3)} == {1}
