The desk in five files: messages, held sessions, budget, the machine, the entrances

Need: core/desk.py held 892 lines of four thoughts, and recovery, exploration and a second front are to be added to it. Change: core/messages.py (what passes), core/held.py (a session and its phases), core/budget.py (the window of further attempts), core/sessions.py (a session's way between module and hosts), core/desk.py (one entrance for each thing that a gateway hears). No behaviour changed; the planted budget fault spoils the Budget object now.

--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -13,8 +13,9 @@
 from dataclasses import replace
 
 from otterglade.config.script import parse
-from otterglade.core import desk as d
 from otterglade.core import interface as api
+from otterglade.core import messages as d
+from otterglade.core.desk import Desk
 from otterglade.core.policy import Controller
 from otterglade.lab.stage import Layout
 
@@ -25,7 +26,7 @@
                      by_probe=False, budget=(0.0, 0.0, 0.0))  # fmt: skip
     settings = parse(layout.script("g", "127.0.0.1:1", "s", "127.0.0.1:0")).settings()
     places = {x.name: d.Place(x.home, x.holders) for x in layout.title_specs()}
-    desk = d.Desk(settings, Controller(settings, 1), d.Terms((5.0, 3.0), 0.1, 1 << 20), places)
+    desk = Desk(settings, Controller(settings, 1), d.Terms((5.0, 3.0), 0.1, 1 << 20), places)
     now = 1000.0
     desk.start(now)
     entries = tuple(api.ServerEntry(n, 0, 0, n, api.State.READY, 1.0, 0.0) for n in range(hosts))
--- a/otterglade/core/carryover.py
+++ b/otterglade/core/carryover.py
@@ -86,8 +86,8 @@
     )
     return Carryover(
         wall,
-        tuple(now - x for x in desk.taken_times if now - x < window),
-        tuple(now - x for x in desk.further_times if now - x < window),
+        tuple(now - x for x in desk.budget.taken if now - x < window),
+        tuple(now - x for x in desk.budget.further if now - x < window),
         turns, links, uplinks,
     )  # fmt: skip
 
@@ -111,7 +111,7 @@
         controller.further.add(at, 1.0)
     for at in taken:
         controller.taken.add(at, 1.0)
-    desk.resume_budget(taken, further)
+    desk.budget.resume(taken, further)
     return len(further)
 
 
--- /dev/null
+++ b/otterglade/core/held.py
@@ -0,0 +1,49 @@
+"""A session as the desk holds it, and the phases that it goes through."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from .messages import Key, View
+
+
+class Phase(Enum):
+    PLACING = "placing"
+    PLAYING = "playing"
+    ENDED = "ended"
+
+
+@dataclass(slots=True, eq=False)
+class Held:
+    """A session of the module, with those who wait for its answer."""
+
+    number: int
+    key: Key
+    paid: bool
+    deadline: float
+    top: int
+    phase: Phase = Phase.PLACING
+    waiters: list[int] = field(default_factory=list)
+    attempts: int = 0
+    out: int | None = None
+    """The attempt that is out."""
+    sent: bool = True
+    """It has gone out; else it is being written down."""
+    committed: int | None = None
+    """The last attempt that is written down."""
+    sent_at: float = 0.0
+    until: float = 0.0
+    server: int = -1
+    rung: int = 0
+    told: int = 0
+    """The rung that the host was told last."""
+    order: int = 0
+    may_have_run: bool = False
+    moving: bool = False
+    replaces: Held | None = None
+    replacement: Held | None = None
+
+    def view(self) -> View:
+        attempt = max(0, self.attempts - 1)
+        return View(self.key, self.number, attempt, self.server, self.rung, self.top, self.moving)
--- a/otterglade/gateway/daemon.py
+++ b/otterglade/gateway/daemon.py
@@ -14,9 +14,11 @@
 from ..config.schema import Config
 from ..config.script import address, token_keys
 from ..core import carryover
-from ..core import desk as d
 from ..core import interface as api
+from ..core import messages as d
+from ..core.desk import Desk
 from ..core.policy import Controller
+from ..core.sessions import Decider
 from ..core.tokens import Tokens
 from ..net.http import Client, Exchange, Timeouts, serve
 from ..net.listener import Address, Listener, bound
@@ -46,7 +48,7 @@
 )  # fmt: skip
 
 
-MakeDecider = Callable[[api.Settings, int], d.Decider]
+MakeDecider = Callable[[api.Settings, int], Decider]
 
 
 def _secret(folder: Path) -> bytes:
@@ -71,10 +73,10 @@
     return made
 
 
-def _signal(done: threading.Event) -> Callable[[d.Desk, float], list[d.Order]]:
+def _signal(done: threading.Event) -> Callable[[Desk, float], list[d.Order]]:
     """An input that tells that all before it was carried out."""
 
-    def tell(desk: d.Desk, now: float) -> list[d.Order]:
+    def tell(desk: Desk, now: float) -> list[d.Order]:
         done.set()
         return []
 
@@ -111,7 +113,7 @@
         life = config.tokens.life if config.tokens is not None else schema.TOKEN_LIFE
         self.sessions = Sessions(tokens, tuple(x.name for x in config.classes), life)
         self.titles = Titles(len(settings.ladder))
-        self.desk = d.Desk(
+        self.desk = Desk(
             settings, decider(settings, self._seed),
             d.Terms(
                 tuple(x.patience for x in config.classes), limits.margin, limits.sessions, durable=True
@@ -229,7 +231,7 @@
         if "tokens" in changed and keys is not None and config.tokens is not None:
             self.sessions.sign_with(keys, config.tokens.life)
 
-        def tell(desk: d.Desk, now: float) -> list[d.Order]:
+        def tell(desk: Desk, now: float) -> list[d.Order]:
             desk.terms = replace(desk.terms, margin=limits.margin, sessions=limits.sessions)
             return []
 
@@ -290,7 +292,7 @@
             self.log.warning("cache_not_saved", cause=str(error))
 
     def _tell_list(self, listed: HostList, cached: bool) -> None:
-        def tell(desk: d.Desk, now: float) -> list[d.Order]:
+        def tell(desk: Desk, now: float) -> list[d.Order]:
             self.hosts.update(listed.hosts)  # addresses first: the module may use a host at once
             orders = desk.servers(now, server_list(listed, self._clock, cached))
             found, self._found = self._found, None
@@ -308,7 +310,7 @@
             self.loop.put(self._retry_store)
             self.loop.put(self._carry_over)
 
-    def _retry_store(self, desk: d.Desk, now: float) -> list[d.Order]:
+    def _retry_store(self, desk: Desk, now: float) -> list[d.Order]:
         self.journal.retry()
         return []
 
@@ -316,10 +318,10 @@
         gap, titles = self.config.limits.fetch_gap, self.titles
         return self.sessions.quiet(time.monotonic(), lambda title: gap * titles.target_duration(title))
 
-    def _ending(self, session: int) -> Callable[[d.Desk, float], list[d.Order]]:
+    def _ending(self, session: int) -> Callable[[Desk, float], list[d.Order]]:
         """An input that ends a session whose viewer has stopped fetching, and not come back since."""
 
-        def end(desk: d.Desk, now: float) -> list[d.Order]:
+        def end(desk: Desk, now: float) -> list[d.Order]:
             held = desk.held.get(session)
             live = self.sessions.of_key(held.key) if held is not None else None
             gap = self.config.limits.fetch_gap
@@ -329,7 +331,7 @@
 
         return end
 
-    def _carry_over(self, desk: d.Desk, now: float) -> list[d.Order]:
+    def _carry_over(self, desk: Desk, now: float) -> list[d.Order]:
         """Keep what the next run should know. No sync: a kill keeps what was written, a power cut is long."""
         controller = desk.controller
         if isinstance(controller, Controller):
@@ -355,14 +357,14 @@
             self.log.warning("carryover_unusable", cause=str(error))
             return None
 
-    def _resume_budget(self, desk: d.Desk, now: float) -> list[d.Order]:
+    def _resume_budget(self, desk: Desk, now: float) -> list[d.Order]:
         found, controller = self._found, desk.controller
         if found is not None and isinstance(controller, Controller):
             count = carryover.restore_budget(desk, controller, found, now, time.time())
             self.log.info("budget_resumed", further=count)
         return []
 
-    def _close_store(self, desk: d.Desk, now: float) -> list[d.Order]:
+    def _close_store(self, desk: Desk, now: float) -> list[d.Order]:
         self.journal.close()
         return []
 
--- a/otterglade/gateway/front.py
+++ b/otterglade/gateway/front.py
@@ -21,8 +21,9 @@
 
 import msgspec
 
-from ..core import desk as d
+from ..core import messages as d
 from ..core.attempts import Entry, Fate
+from ..core.desk import Desk
 from ..core.tokens import TokenError
 from ..net.http import Client, Exchange
 from ..obs.logs import Log
@@ -253,12 +254,12 @@
         lapsed = self._sessions.lapsed(name) if live is None else None
         if live is not None:
             ask = d.Ask(number, live.view.key, live.view.top)
-            what = functools.partial(d.Desk.move, ask=ask)
+            what = functools.partial(Desk.move, ask=ask)
         elif lapsed is not None:
             if not lapsed.resumable or self.stopping:
                 return exchange.reply(410, [PLAIN], b"this session has ended; ask for it anew at /watch\n")
             ask = d.Ask(number, lapsed.key, lapsed.top)
-            what = functools.partial(d.Desk.ask, ask=ask)
+            what = functools.partial(Desk.ask, ask=ask)
         else:
             try:
                 ask, entry = self._claimed(number, name)
@@ -267,7 +268,7 @@
                 return exchange.reply(403, [PLAIN], b"this address is not good\n")
             if self.stopping:
                 return self._refused(exchange, d.Refused(1.0, "this gateway stops"))
-            what = functools.partial(d.Desk.resume, ask=ask, entry=entry)
+            what = functools.partial(Desk.resume, ask=ask, entry=entry)
         key = ask.key
         deadline = arrived + self._offer.patience[key[1]] - self._offer.margin / 2
         verdict = self._wait(exchange, ask.waiter, lambda desk, now: what(desk, now), deadline)
@@ -295,7 +296,7 @@
     # The desk's verdict
 
     def _wait(
-        self, exchange: Exchange, number: int, ask: Callable[[d.Desk, float], list[d.Order]], deadline: float
+        self, exchange: Exchange, number: int, ask: Callable[[Desk, float], list[d.Order]], deadline: float
     ) -> d.Verdict:
         """Hand in and wait; a player that closes meanwhile is told to the desk. Raises Gone."""
         waiter = self._waiters[number] = Waiter()
--- a/otterglade/gateway/hosts.py
+++ b/otterglade/gateway/hosts.py
@@ -10,8 +10,8 @@
 
 import msgspec
 
-from ..core import desk as d
 from ..core import interface as api
+from ..core import messages as d
 from ..core.attempts import Entry, Word, heard
 from ..core.outcomes import Phase, Trouble, of_answer, of_trouble
 from ..net.http import Call, Client, ExchangeError
--- a/otterglade/gateway/journal.py
+++ b/otterglade/gateway/journal.py
@@ -8,9 +8,10 @@
 
 import msgspec
 
-from ..core import desk as d
 from ..core import interface as api
+from ..core import messages as d
 from ..core.attempts import Book, Entry, EntryError, Fate, Recovery, Word, resumed
+from ..core.desk import Desk
 from ..net.threads import Failure
 from ..obs.logs import Log as Logger
 from ..store.disk import Disk
@@ -59,7 +60,7 @@
             open=len(self.recovery.open), unsure=len(self.book.of_fate(Fate.UNSURE)),
         )  # fmt: skip
 
-    def prepare(self, desk: d.Desk, now: float) -> list[d.Order]:
+    def prepare(self, desk: Desk, now: float) -> list[d.Order]:
         """Tell the desk what is unsure and what is being found out, before anybody asks."""
         desk.paid_refused = self.trouble
         wall = time.time()
@@ -82,7 +83,7 @@
         if word is Word.SILENT:
             time.sleep(ASK_AGAIN)
 
-        def tell(desk: d.Desk, now: float) -> list[d.Order]:
+        def tell(desk: Desk, now: float) -> list[d.Order]:
             settled = self.recovery.told(entry.setup, word, now)
             if settled is None:
                 if entry.setup in self.recovery.open:
@@ -103,7 +104,7 @@
         entry = order.entry
 
         def told(word: Word) -> None:
-            def tell(desk: d.Desk, now: float) -> list[d.Order]:
+            def tell(desk: Desk, now: float) -> list[d.Order]:
                 verdict = resumed(word)
                 if verdict.adopt:
                     self._hosts.take_over(desk.next_session, entry.setup)
@@ -127,7 +128,7 @@
         def done(error: OSError | None) -> None:
             trouble = "" if error is None else f"paid sessions can't be recorded: {error}"
 
-            def tell(desk: d.Desk, now: float) -> list[d.Order]:
+            def tell(desk: Desk, now: float) -> list[d.Order]:
                 self._trouble(trouble)
                 if trouble:
                     self.book.entries.pop(entry.setup, None)
@@ -165,7 +166,7 @@
         def done(error: OSError | None) -> None:
             if error is None:
 
-                def tell(desk: d.Desk, now: float) -> list[d.Order]:
+                def tell(desk: Desk, now: float) -> list[d.Order]:
                     self._trouble("")
                     return desk.committed(now, 0, 0, "")
 
--- a/otterglade/gateway/loop.py
+++ b/otterglade/gateway/loop.py
@@ -14,10 +14,11 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 
-from ..core import desk as d
+from ..core import messages as d
+from ..core.desk import Desk
 from ..net.threads import Failure, spawn
 
-Input = Callable[[d.Desk, float], list[d.Order]]
+Input = Callable[[Desk, float], list[d.Order]]
 """What a thread hands in: called on the loop with the desk and the time."""
 
 
@@ -29,7 +30,7 @@
 """After so many other inputs one of those that nobody waits for gets its turn."""
 
 
-def _nothing(desk: d.Desk, now: float) -> list[d.Order]:
+def _nothing(desk: Desk, now: float) -> list[d.Order]:
     return []
 
 
@@ -37,7 +38,7 @@
     """Runs inputs and alarms one after another and carries out the orders, in order."""
 
     def __init__(
-        self, desk: d.Desk, carry: Callable[[d.Order], None], on_failure: Failure,
+        self, desk: Desk, carry: Callable[[d.Order], None], on_failure: Failure,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:  # fmt: skip
         self.desk, self._carry, self._on_failure, self._clock = desk, carry, on_failure, clock
--- a/otterglade/gateway/record.py
+++ b/otterglade/gateway/record.py
@@ -14,8 +14,8 @@
 import msgspec
 
 from ..core import interface as api
-from ..core.desk import Decider
 from ..core.policy import Controller
+from ..core.sessions import Decider
 
 KINDS: dict[str, type[Any]] = {
     kind.__name__: kind
--- a/otterglade/gateway/sessions.py
+++ b/otterglade/gateway/sessions.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from ..core.desk import Key, View
+from ..core.messages import Key, View
 from ..core.tokens import Claim, Tokens
 from .titles import Grown
 
--- a/otterglade/lab/plants.py
+++ b/otterglade/lab/plants.py
@@ -12,9 +12,11 @@
 from collections.abc import Callable
 from dataclasses import replace
 
+from ..core import budget as window
 from ..core import interface as api
-from ..core.desk import Decider, Reply, SetUp
+from ..core.messages import Reply, SetUp
 from ..core.policy import Controller
+from ..core.sessions import Decider
 from ..gateway.daemon import Gateway
 
 
@@ -137,4 +139,4 @@
         return
     gateway.desk.controller = MODULES[name](gateway.desk.settings, 1)
     if name == "budget":  # the desk holds to it as well
-        gateway.desk.settings = replace(gateway.desk.settings, budget_window=0.0)
+        gateway.desk.budget = window.Budget(replace(gateway.desk.settings, budget_window=0.0))
--- a/tests/house.py
+++ b/tests/house.py
@@ -13,7 +13,8 @@
 
 from otterglade.config.script import parse
 from otterglade.core import interface as api
-from otterglade.core.desk import Desk, Order
+from otterglade.core.desk import Desk
+from otterglade.core.messages import Order
 from otterglade.gateway.daemon import Gateway
 from otterglade.gateway.sessions import Live
 from otterglade.lab.stage import Layout, Stage
--- a/tests/test_carryover.py
+++ b/tests/test_carryover.py
@@ -10,8 +10,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from otterglade.core import desk as d
 from otterglade.core import interface as api
+from otterglade.core import messages as d
 from otterglade.core.carryover import (
     Carryover,
     CarryoverError,
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -10,8 +10,10 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from otterglade.core import desk as d
 from otterglade.core import interface as api
+from otterglade.core import messages as d
+from otterglade.core.desk import Desk
+from otterglade.core.held import Phase as HeldPhase
 from otterglade.core.outcomes import OUTCOMES, Phase, Trouble, of_answer, of_trouble
 from otterglade.core.policy import Controller
 
@@ -27,7 +29,7 @@
 
     def __init__(self, site: api.Settings = SITE, terms: d.Terms = TERMS) -> None:
         self.now = 1000.0
-        self.desk = d.Desk(site, Controller(site, 5), terms, {"a": d.Place(0, 4), "b": d.Place(2, 2)})
+        self.desk = Desk(site, Controller(site, 5), terms, {"a": d.Place(0, 4), "b": d.Place(2, 2)})
         self.orders: list[d.Order] = []
         self.waiters = 0
         self.do(self.desk.start(self.now))
@@ -376,7 +378,7 @@
 
     @rule(pick=st.integers(0, 99), word=st.booleans())
     def over(self, pick: int, word: bool) -> None:
-        playing = [x for x in self.room.desk.held.values() if x.phase is d.Phase.PLAYING]
+        playing = [x for x in self.room.desk.held.values() if x.phase is HeldPhase.PLAYING]
         if playing:
             held = playing[pick % len(playing)]
             if word:
@@ -401,7 +403,7 @@
             assert waiter in held.waiters
             assert held.number in desk.held
         for held in desk.held.values():
-            assert (held.phase is d.Phase.PLAYING) == (held.number in desk.at.get(held.server, {}))
+            assert (held.phase is HeldPhase.PLAYING) == (held.number in desk.at.get(held.server, {}))
             assert desk.by_key[held.key] is held or held.replaces is not None
         inner = desk.controller
         assert isinstance(inner, Controller)
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -5,8 +5,9 @@
 import threading
 import time
 
-from otterglade.core import desk as d
 from otterglade.core import interface as api
+from otterglade.core import messages as d
+from otterglade.core.desk import Desk
 from otterglade.core.policy import Controller
 from otterglade.gateway.loop import Loop
 
@@ -29,7 +30,7 @@
 
     def __init__(self) -> None:
         self.clock = Jumping()
-        desk = d.Desk(SITE, Controller(SITE, 1), d.Terms((4.0, 3.0), 0.1, 100), {"a": d.Place(0, 4)})
+        desk = Desk(SITE, Controller(SITE, 1), d.Terms((4.0, 3.0), 0.1, 100), {"a": d.Place(0, 4)})
         self.orders: list[d.Order] = []
         self.failures: list[BaseException] = []
         self.loop = Loop(
@@ -92,7 +93,7 @@
     thread = threading.Thread(target=flood)
     thread.start()
 
-    def chore(desk: d.Desk, now: float) -> list[d.Order]:
+    def chore(desk: Desk, now: float) -> list[d.Order]:
         behind.set()
         return []
 
