--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 # Each target does its own set-up: a virtual environment in $(VENV) with the locked packages.
 VENV ?= .venv-dev
 BIN := $(VENV)/bin
+# Test processes at once: a stated number, so that the load on the tests is the same everywhere.
+WORKERS ?= 4
 
 .PHONY: demo day test check clean
 
@@ -17,7 +19,7 @@
 	$(BIN)/otterglade day bad --seconds 60
 
 test: $(VENV)/ready
-	$(BIN)/python -m pytest -q
+	$(BIN)/python -m pytest -q -n $(WORKERS) --maxschedchunk=1
 
 check: $(VENV)/ready
 	$(BIN)/ruff check .
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -246,6 +246,7 @@
     house.heal_all()
 
 
+@pytest.mark.long
 def test_a_host_that_drains_while_fifty_set_ups_are_out_gets_nothing_new(build: Build) -> None:
     house = build(replace(SMALL, link=10_000.0, slots=200), setup_time=0.5)
     waiting = [in_thread(lambda n=n: house.watch(viewer=f"v{n}")) for n in range(50)]  # type: ignore[misc]
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -7,7 +7,6 @@
 import subprocess
 import sys
 import time
-from concurrent.futures import ThreadPoolExecutor
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
@@ -40,14 +39,7 @@
     return play(replace(day, rate=12.0, layout=layout, watch=(1.0, 3.0)), folder, 11, plant=rule)
 
 
-@pytest.fixture(scope="module")
-def planted(tmp_path_factory: pytest.TempPathFactory) -> dict[str, Verdict]:
-    """A day with each fault, three at a time."""
-    with ThreadPoolExecutor(3) as pool:
-        days = {x: pool.submit(planted_day, x, tmp_path_factory.mktemp(x)) for x in RULES}
-        return {rule: day.result() for rule, day in days.items()}
-
-
+@pytest.mark.long
 def test_a_bad_day_keeps_every_rule(tmp_path: Path) -> None:
     day = replace(make("bad", 20.0, 5), watch=(2.0, 5.0))
     verdict = play(day, tmp_path, 5)
@@ -58,9 +50,11 @@
     assert said["answers"]["plays"] > 0
 
 
+@pytest.mark.long
 @pytest.mark.parametrize("rule", RULES)
-def test_a_planted_fault_is_found_for_each_rule(rule: str, planted: dict[str, Verdict]) -> None:
-    assert planted[rule].broken()[rule] > 0, planted[rule]
+def test_a_planted_fault_is_found_for_each_rule(rule: str, tmp_path: Path) -> None:
+    verdict = planted_day(rule, tmp_path)
+    assert verdict.broken()[rule] > 0, verdict
 
 
 def test_fifty_sessions_playing_when_their_gateway_is_killed_go_on_after_its_return(tmp_path: Path) -> None:
@@ -131,6 +125,7 @@
             replay(cut, Controller)
 
 
+@pytest.mark.long
 def test_a_host_counts_set_ups_while_cold_and_falls_when_sent_too_many(tmp_path: Path) -> None:
     house = House(tmp_path, replace(SMALL, cold=60.0, fall=10.0, slots=6))
     house.start_registry()
