Queries are decoded strictly: no two viewer keys become one, numbers are ASCII digits

Cause: viewer=%ff and viewer=%fe both became U+FFFD and shared a session; control characters reached logs and hosts; top=1_0 and digits of other scripts passed for numbers. Change: wire/query.py decodes escapes and UTF-8 strictly, refuses control characters, fields given twice and more than 32 fields, and reads numbers in ASCII digits; the front answers 400 and names the field.

--- a/otterglade/gateway/front.py
+++ b/otterglade/gateway/front.py
@@ -15,7 +15,6 @@
 import math
 import threading
 import time
-import urllib.parse
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -27,6 +26,7 @@
 from ..core.tokens import TokenError
 from ..net.http import Client, Exchange
 from ..obs.logs import Log
+from ..wire.query import QueryError, decimal, decoded, fields, whole
 from .loop import Loop
 from .sessions import Live, Sessions
 from .titles import Grown, Rendition, TitleError, Titles
@@ -119,7 +119,7 @@
         if path.startswith("/s/") and len(parts) in (4, 6):
             return self._segment(exchange, parts)
         if path.startswith("/watch/") and len(parts) == 4 and parts[3].endswith(".m3u8"):
-            return self._watch(exchange, parts[2], urllib.parse.unquote(parts[3][:-5]), query)
+            return self._watch(exchange, parts[2], parts[3][:-5], query)
         if path == "/healthz":
             return exchange.reply(200, [PLAIN], b"ok\n")
         if path == "/status":
@@ -134,18 +134,23 @@
         if lane is None:
             known = ", ".join(self._offer.classes)
             return exchange.reply(404, [PLAIN], f"class: found {class_!r}; known are {known}\n".encode())
+        try:
+            title = decoded(title, "title")
+        except QueryError as error:
+            return exchange.reply(400, [PLAIN], f"{error}\n".encode())
         if title not in self._offer.titles:
             return exchange.reply(404, [PLAIN], f"title: found {title!r}; not in the catalogue\n".encode())
-        given = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
-        viewer = given.get("viewer", "")
-        if not 1 <= len(viewer) <= 200:
-            return exchange.reply(400, [PLAIN], b"viewer: a key of 1 to 200 characters is due\n")
-        top, hint = _number(given.get("top"), self._offer.top), _number(given.get("hint"), -1.0)
-        if math.isnan(top) or not top >= 0 or math.isnan(hint):
-            return exchange.reply(400, [PLAIN], b"top, hint: a number is due\n")
+        try:
+            given = fields(query, ("viewer", "top", "hint"))
+            viewer = given.get("viewer", "")
+            if not 1 <= len(viewer) <= 200:
+                raise QueryError(f"viewer: found {len(viewer)} characters; allowed: a key of 1 to 200")
+            top, hint = whole(given.get("top"), "top", self._offer.top), decimal(given.get("hint"), "hint")
+        except QueryError as error:
+            return exchange.reply(400, [PLAIN], f"{error}\n".encode())
         key = (viewer, lane, title)
         deadline = arrived + self._offer.patience[lane] - self._offer.margin / 2
-        ask = d.Ask(next(self._numbers), key, min(int(top), self._offer.top), hint if hint >= 0 else None)
+        ask = d.Ask(next(self._numbers), key, min(top, self._offer.top), hint)
         live = self._sessions.of_key(key)
         if live is None:
             if self.stopping:
@@ -329,14 +334,3 @@
         body = {"answer": "refused", "cause": verdict.cause, "retry_in": round(verdict.come_back, 3)}
         fields = [(b"Retry-After", str(seconds).encode()), JSON, NO_STORE]
         return exchange.reply(503, fields, msgspec.json.encode(body) + b"\n")
-
-
-def _number(text: str | None, default: float) -> float:
-    """A number of a query; NaN where it is none."""
-    if text is None:
-        return default
-    try:
-        value = float(text)
-    except ValueError:
-        return math.nan
-    return value if math.isfinite(value) else math.nan
