--- a/otterglade/cli/main.py
+++ b/otterglade/cli/main.py
@@ -131,40 +131,85 @@
 @click.option("--seed", type=int, default=1, show_default=True)
 @click.option("--json", "as_json", is_flag=True, help="End with one line of JSON.")
 @click.option("--keep", type=click.Path(path_type=Path), help="Keep records and logs in this folder.")
+@click.option("--gateways", type=click.IntRange(1, 16), help="Of a built-in scenario; 2 if not given.")
 @click.option("--plant", default="", hidden=True)
 def day(
     scenario: str, day_file: Path | None, seconds: float | None, seed: int, as_json: bool, keep: Path | None,
-    plant: str,
+    gateways: int | None, plant: str,
 ) -> None:  # fmt: skip
     """Play SCENARIO on loopback and judge the six rules from what passed on the sockets; exit 1 if one broke.
 
     SCENARIO is a built-in name or a script (*.star). Registry, hosts, gateways and players are separate
-    processes; all of them are ended.
+    processes; all of them are ended. The records of a day that broke a rule are kept, and it says where.
     """
-    import tempfile
-
+    from ..lab import campaign
     from ..lab import day as days
     from ..lab.stage import StageError
 
-    plan = _plan(scenario, day_file, seconds, seed)
+    plan = _plan(scenario, day_file, seconds, seed, gateways)
     if keep is not None and keep.exists() and any(keep.iterdir()):
         raise click.ClickException(f"--keep: {keep} is not empty")
     try:
-        with tempfile.TemporaryDirectory(prefix="otterglade-") as made:
-            verdict = days.play(plan, keep or Path(made), seed, plant)
+        played = campaign.play_kept(plan, seed, keep, plant)
     except StageError as error:
         raise click.ClickException(str(error)) from error
-    click.echo(days.table(plan, verdict))
+    click.echo(days.table(plan, played.verdict))
+    if played.records is not None:
+        click.echo(f"records: {played.records}")
     if as_json:
-        click.echo(json.dumps(days.summary(plan, verdict)))
-    sys.exit(1 if verdict.findings else 0)
+        said = days.summary(plan, played.verdict)
+        click.echo(json.dumps(said | {"records": str(played.records) if played.records else None}))
+    sys.exit(1 if played.verdict.findings else 0)
+
+
+@main.command()
+@click.argument("scenario", required=False, default="bad")
+@click.option("--first", type=int, required=True, help="The first seed.")
+@click.option("--count", type=click.IntRange(min=1), default=30, show_default=True)
+@click.option("--at-once", type=click.IntRange(1, 8), default=3, show_default=True)
+@click.option("--seconds", type=click.FloatRange(min=2.0), help="Length of each day; 60 for a built-in one.")
+@click.option("--gateways", type=click.IntRange(1, 16), help="Of a built-in scenario; 2 if not given.")
+def days(
+    scenario: str, first: int, count: int, at_once: int, seconds: float | None, gateways: int | None
+) -> None:
+    """Play SCENARIO on many seeds, some at a time; exit 1 if any broke a rule, its records are kept."""
+    from ..lab import campaign
+    from ..lab.stage import StageError
 
+    def told(played: campaign.Played) -> None:
+        verdict = played.verdict
+        click.echo(
+            f"seed {played.seed}: {verdict.requests} requests, {verdict.further} further attempts,"
+            f" service {verdict.service:.3f}: {'kept' if not verdict.findings else played.records}"
+        )
+        for finding in verdict.findings:
+            click.echo(f"  broken: {finding.rule}: {finding.what}")
 
-def _plan(scenario: str, day_file: Path | None, seconds: float | None, seed: int) -> Any:
+    try:
+        played = campaign.play_many(
+            lambda seed: _plan(scenario, None, seconds, seed, gateways), range(first, first + count), at_once,
+            told,
+        )  # fmt: skip
+    except StageError as error:
+        raise click.ClickException(str(error)) from error
+    kept = sum(not x.verdict.findings for x in played)
+    requests = sum(x.verdict.requests for x in played)
+    click.echo(f"{kept} of {len(played)} days kept every rule; {requests} requests")
+    sys.exit(0 if kept == len(played) else 1)
+
+
+def _plan(
+    scenario: str, day_file: Path | None, seconds: float | None, seed: int, gateways: int | None = None
+) -> Any:
     """The day that was asked for, or a clear word on why there is none."""
+    from dataclasses import replace
+
     from ..config.script import nearest
     from ..lab import benchday, script
-    from ..lab.scenarios import SCENARIOS, make
+    from ..lab.scenarios import SCENARIOS, TWO, make
+
+    if gateways is not None and (day_file is not None or scenario.endswith(".star")):
+        raise click.ClickException("--gateways: a day file or a script states its own")
 
     try:
         if day_file is not None:
@@ -177,7 +222,7 @@
         raise click.ClickException(str(error)) from error
     if scenario not in SCENARIOS:
         raise click.ClickException(f"scenario: found {scenario!r}; {nearest(scenario, SCENARIOS)}")
-    return make(scenario, seconds or 60.0, seed)
+    return make(scenario, seconds or 60.0, seed, replace(TWO, gateways=gateways or TWO.gateways))
 
 
 @main.command()
--- a/otterglade/lab/scenarios.py
+++ b/otterglade/lab/scenarios.py
@@ -42,11 +42,11 @@
 TWO = Layout(gateways=2)
 
 
-def _quiet(seconds: float, draw: random.Random) -> Day:
-    return Day("quiet", TWO, seconds, 4.5)
+def _quiet(layout: Layout, seconds: float, draw: random.Random) -> Day:
+    return Day("quiet", layout, seconds, 4.5)
 
 
-def _bad(seconds: float, draw: random.Random) -> Day:
+def _bad(layout: Layout, seconds: float, draw: random.Random) -> Day:
     """Every kind of trouble once in each minute, or once in a shorter day."""
     troubles: list[Trouble] = []
     surges = []
@@ -57,8 +57,8 @@
         def at(share: float, began: float = began) -> float:
             return began + span * (share + draw.uniform(-0.02, 0.02))
 
-        hosts = draw.sample(range(TWO.hosts), 5)
-        gateway = draw.randrange(TWO.gateways)
+        hosts = draw.sample(range(layout.hosts), 5)
+        gateway = draw.randrange(layout.gateways)
         lasts = min(8.0, span / 6)
         troubles += [
             Trouble(at(0.06), "answer_lost", hosts[0], lasts, 0.3),
@@ -73,28 +73,29 @@
             Trouble(at(0.84), "hang", hosts[2], lasts / 2),
         ]
         surges.append((began + span * 0.4, began + span * 0.6, 2.0))
-    return Day("bad", TWO, seconds, 4.5, troubles=tuple(troubles), surges=tuple(surges))
+    return Day("bad", layout, seconds, 4.5, troubles=tuple(troubles), surges=tuple(surges))
 
 
 def _one(kind: str, seconds: float = 0.15, value: float = 0.0, hosts: int = 2) -> Callable[..., Day]:
     """A day of one kind of trouble, several times; `seconds` as a share of the day."""
 
-    def make(length: float, draw: random.Random) -> Day:
+    def make(layout: Layout, length: float, draw: random.Random) -> Day:
         troubles = []
         for n in range(3):
-            targets = draw.sample(range(TWO.hosts), hosts) if kind != "gateway_kill" else [n % TWO.gateways]
+            of_gateways = kind == "gateway_kill"
+            targets = [n % layout.gateways] if of_gateways else draw.sample(range(layout.hosts), hosts)
             at = length * (0.15 + 0.25 * n)
             troubles += [Trouble(at, kind, x, max(1.5, length * seconds), value) for x in targets]
-        return Day(kind, TWO, length, 4.5, troubles=tuple(troubles))
+        return Day(kind, layout, length, 4.5, troubles=tuple(troubles))
 
     return make
 
 
-def _surge(seconds: float, draw: random.Random) -> Day:
-    return Day("surge", TWO, seconds, 4.5, surges=((seconds * 0.3, seconds * 0.7, 2.0),))
+def _surge(layout: Layout, seconds: float, draw: random.Random) -> Day:
+    return Day("surge", layout, seconds, 4.5, surges=((seconds * 0.3, seconds * 0.7, 2.0),))
 
 
-SCENARIOS: dict[str, Callable[[float, random.Random], Day]] = {
+SCENARIOS: dict[str, Callable[[Layout, float, random.Random], Day]] = {
     "quiet": _quiet,
     "bad": _bad,
     "crash": _one("crash"),
@@ -110,7 +111,7 @@
 }
 
 
-def make(name: str, seconds: float, seed: int) -> Day:
+def make(name: str, seconds: float, seed: int, layout: Layout = TWO) -> Day:
     """A built-in scenario. Raises KeyError for an unknown name."""
-    day = SCENARIOS[name](seconds, random.Random(seed))
+    day = SCENARIOS[name](layout, seconds, random.Random(seed))
     return replace(day, name=name, troubles=tuple(sorted(day.troubles, key=lambda x: x.at)))
