Further attempts are written down one by one; the margin grows while alarms ring late

Result: a gateway killed four times within its window keeps the budget on sockets, one that forgets is reported.

--- a/otterglade/config/schema.py
+++ b/otterglade/config/schema.py
@@ -160,7 +160,7 @@
     """Seconds for a request's head, however slowly it comes."""
     send: Positive = 10.0
     """Seconds for an answer to a player that does not read."""
-    margin: Positive = 0.15
+    margin: Positive = 0.2
     """Seconds before the viewer's patience ends at which the answer is sent."""
     fetch_gap: Positive = 4.0
     """Target durations without a fetch after which the viewer counts as gone."""
--- a/otterglade/core/budget.py
+++ b/otterglade/core/budget.py
@@ -24,6 +24,8 @@
         self.taken: deque[float] = deque()
         """Viewers' sessions; moves are not theirs."""
         self.further: deque[float] = deque()
+        self.spends = 0
+        """Further attempts sent since the state folder was made: tells which a snapshot already has."""
 
     def take(self, now: float) -> None:
         """A viewer's session is taken."""
@@ -43,6 +45,7 @@
         if len(self.further) + 1 > self._free + self._share * len(self.taken):
             return False
         self.further.append(now)
+        self.spends += 1
         return True
 
     def resume(self, taken: list[float], further: list[float]) -> None:
--- a/otterglade/core/carryover.py
+++ b/otterglade/core/carryover.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import math
+import struct
 
 import msgspec
 
@@ -49,6 +50,8 @@
     turns: tuple[Turn, ...] = ()
     links: tuple[Reading, ...] = ()
     uplinks: tuple[Reading, ...] = ()
+    spends: int = 0
+    """Further attempts sent so far; what was written down one by one counts where its number is higher."""
 
 
 class CarryoverError(ValueError):
@@ -88,23 +91,44 @@
         wall,
         tuple(now - x for x in desk.budget.taken if now - x < window),
         tuple(now - x for x in desk.budget.further if now - x < window),
-        turns, links, uplinks,
+        turns, links, uplinks, desk.budget.spends,
     )  # fmt: skip
 
 
-def restore_budget(desk: Desk, controller: Controller, found: Carryover, now: float, wall: float) -> int:
+SPEND = struct.Struct("<Qd")
+"""One further attempt, written down before it went out: its number, Unix time."""
+
+
+def spend_record(number: int, wall: float) -> bytes:
+    return SPEND.pack(number, wall)
+
+
+def read_spends(data: bytes) -> list[tuple[int, float]]:
+    """What was written one by one; a last record that a kill cut short was of an attempt never sent."""
+    whole = len(data) - len(data) % SPEND.size
+    return [x for x in SPEND.iter_unpack(data[:whole]) if math.isfinite(x[1])]
+
+
+def restore_budget(
+    desk: Desk, controller: Controller, found: Carryover | None, spends: list[tuple[int, float]], now: float,
+    wall: float,
+) -> int:  # fmt: skip
     """Give the window of sessions and further attempts back, before the first request; how many attempts.
 
-    Both or neither: attempts without the sessions that paid for them would be too strict, sessions without
-    the attempts would be the fresh window that must not be. A wall clock that was set back makes the past
-    look like the future: then attempts count as of now, and the sessions are left out: the strict side.
+    The snapshot has both up to when it was taken. What came after it: the attempts were written one by one,
+    the sessions are lost, at most a snapshot's interval of them, which is the strict side. A wall clock that
+    was set back makes the past look like the future: then attempts count as of now, and no sessions do.
     """
-    window, gone = controller.s.budget_window, wall - found.at
+    window = controller.s.budget_window
     if window <= 0:
         return 0
+    kept = found or Carryover(wall)
+    gone = wall - kept.at
     backwards = gone < 0
-    further = [now - (0.0 if backwards else x + gone) for x in found.further]
-    taken = [] if backwards else [now - (x + gone) for x in found.taken]
+    further = [now - (0.0 if backwards else x + gone) for x in kept.further]
+    further += [now - max(0.0, wall - at) for number, at in spends if number > kept.spends]
+    taken = [] if backwards else [now - (x + gone) for x in kept.taken]
+    desk.budget.spends = max((kept.spends, *(number for number, _ in spends)))
     further = sorted(x for x in further if now - x < window)
     taken = sorted(x for x in taken if now - x < window)
     for at in further:
--- a/otterglade/core/desk.py
+++ b/otterglade/core/desk.py
@@ -67,7 +67,7 @@
         elif now < self.unsure.get(ask.key, -math.inf):
             self._reply(ask.waiter, Failed("an earlier set-up of this session may have run"))
         elif ask.key in self.finding:
-            deadline = now + self.terms.patience[ask.key[1]] - self.terms.margin
+            deadline = now + self._patience(ask.key[1])
             self.finding[ask.key].append((deadline, ask))
             self._out.append(Alarm(deadline, AlarmKind.FINDING, ask.waiter))
         elif self.paid_refused and self.settings.classes[ask.key[1]].effect is not api.Effect.SAFE:
@@ -75,8 +75,7 @@
         elif len(self.held) >= self.terms.sessions:
             self._reply(ask.waiter, Refused(self.settings.max_retry_after, "as many sessions as allowed"))
         else:
-            patience = self.terms.patience[ask.key[1]] - self.terms.margin
-            self._take(ask, patience, None)
+            self._take(ask, self._patience(ask.key[1]), None)
         return self._done()
 
     def resume(self, now: float, ask: Ask, entry: Entry) -> list[Order]:
@@ -87,7 +86,7 @@
         if ask.key in self.by_key or ask.key in self.finding or ask.key in self.unsure:
             return self.ask(now, ask)
         self._begin(now)
-        deadline = now + self.terms.patience[ask.key[1]] - self.terms.margin
+        deadline = now + self._patience(ask.key[1])
         self.finding[ask.key] = [(deadline, ask)]
         self._out += [AskFate(entry), Alarm(deadline, AlarmKind.FINDING, ask.waiter)]
         return self._done()
@@ -108,7 +107,7 @@
             self._attach(current.replacement, ask.waiter)
         else:
             goal = self.settings.classes[ask.key[1]].goal
-            self._take(ask, min(goal, self.terms.patience[ask.key[1]] - self.terms.margin), current)
+            self._take(ask, min(goal, self._patience(ask.key[1])), current)
         return self._done()
 
     def waiter_left(self, now: float, waiter: int) -> list[Order]:
@@ -274,6 +273,7 @@
     def alarm(self, now: float, alarm: Alarm) -> list[Order]:
         """A time that was asked for has come."""
         self._begin(now)
+        self.margin.rang(now, alarm.at)
         if alarm.kind is AlarmKind.MODULE:
             self._feed(api.TimerFired(alarm.token))
             return self._done()
--- a/otterglade/core/messages.py
+++ b/otterglade/core/messages.py
@@ -112,6 +112,14 @@
     top: int
 
 
+@dataclass(frozen=True, slots=True)
+class Spent:
+    """Write down that a further attempt goes out; carried out before the attempt is."""
+
+    number: int
+    """Counts up, over restarts too."""
+
+
 @dataclass(frozen=True, slots=True)
 class Fated:
     """Write down what became of an attempt that was committed."""
@@ -199,6 +207,6 @@
 
 
 Order = (
-    Reply | SetUp | Commit | Fated | AskFate | Cut | Release | TellRung | AskLoad | Alarm | Publish
+    Reply | SetUp | Commit | Spent | Fated | AskFate | Cut | Release | TellRung | AskLoad | Alarm | Publish
     | Withdraw | Note
 )  # fmt: skip
--- a/otterglade/core/sessions.py
+++ b/otterglade/core/sessions.py
@@ -22,6 +22,7 @@
 from .attempts import Fate, fate_of
 from .budget import Budget
 from .held import Held, Phase
+from .margin import Margin
 from .messages import (
     Alarm,
     AlarmKind,
@@ -40,6 +41,7 @@
     Release,
     Reply,
     SetUp,
+    Spent,
     TellRung,
     Terms,
     Verdict,
@@ -79,6 +81,7 @@
         self.unsure: OrderedDict[Key, float] = OrderedDict()
         """Paid sessions of which a set-up may have run unseen, and until when that counts."""
         self.budget = Budget(settings)
+        self.margin = Margin()
         self._out: list[Order] = []
         self._todo: deque[api.Event] = deque()
 
@@ -145,7 +148,7 @@
                 api.AttemptEnded(session, server, 0, api.Outcome.SKIPPED, 0.0, held is None, None)
             )
             return
-        if held.attempts and not self.budget.spend(self.now):
+        if held.attempts and not self._further():
             self._say("info", "attempt_over_budget", session=session, server=server)
             self._todo.append(api.AttemptEnded(session, server, 0, api.Outcome.SKIPPED, 0.0, False, None))
             return
@@ -168,6 +171,18 @@
         assert held.out is not None, "asked of an attempt that is out"
         return SetUp(held.number, held.out, held.server, held.key, held.told, held.paid, held.until)
 
+    def _further(self) -> bool:
+        """Whether a further attempt may go out; if so it is written down first, lest a restart forget it."""
+        allowed = self.budget.spend(self.now)
+        if allowed and self.budget.window > 0:
+            self._out.append(Spent(self.budget.spends))
+        return allowed
+
+    def _patience(self, lane: int) -> float:
+        """Seconds for which a viewer of a class who asks now can be made to wait for his answer."""
+        patience = self.terms.patience[lane]
+        return patience - self.margin.of(self.now, self.terms.margin, patience)
+
     def _choose_rung(self, session: int, rung: int) -> None:
         held = self.held.get(session)
         if held is None:
--- a/otterglade/gateway/daemon.py
+++ b/otterglade/gateway/daemon.py
@@ -26,6 +26,7 @@
 from ..net.threads import spawn
 from ..obs.logs import Log, on_failure
 from ..store.disk import Disk
+from ..store.kept import Kept
 from ..wire import http1
 from .fleet import Cache, Clock, HostList, ListError, server_list
 from .front import Front, Offer
@@ -102,7 +103,7 @@
         self._lock = Lock(folder)
         self.phase = "starting"
         """starting, finding out, taking, stopping, stopped."""
-        self._carried = folder / "carryover"
+        self._carried = Kept(folder, "carryover", "spent")
         self._found: carryover.Carryover | None = None
         self._carry_trouble = False
         self._cache, self._clock = Cache(folder), Clock.now()
@@ -337,30 +338,38 @@
         if isinstance(controller, Controller):
             data = carryover.encode(carryover.take(desk, controller, now, time.time()))
             try:
-                beside = self._carried.with_suffix(".new")
-                beside.write_bytes(data)
-                beside.replace(self._carried)
+                self._carried.save(data)
             except OSError as error:
-                if not self._carry_trouble:
-                    self.log.warning("carryover_not_saved", cause=str(error))
-                self._carry_trouble = True
+                self._carry_failed(error)
             else:
                 self._carry_trouble = False
         return []
 
     def _load_carried(self) -> carryover.Carryover | None:
         try:
-            return carryover.decode(self._carried.read_bytes())
-        except FileNotFoundError:
-            return None
+            data = self._carried.load()
+            return None if data is None else carryover.decode(data)
         except (OSError, carryover.CarryoverError) as error:
             self.log.warning("carryover_unusable", cause=str(error))
             return None
 
+    def _spent(self, order: d.Spent) -> None:
+        """Written before the attempt goes out. Where the disk takes nothing it goes out all the same: it is
+        allowed now, and only a kill within the window would forget it."""
+        try:
+            self._carried.append(carryover.spend_record(order.number, time.time()))
+        except OSError as error:
+            self._carry_failed(error)
+
+    def _carry_failed(self, error: OSError) -> None:
+        if not self._carry_trouble:
+            self.log.warning("carryover_not_saved", cause=str(error))
+        self._carry_trouble = True
+
     def _resume_budget(self, desk: Desk, now: float) -> list[d.Order]:
-        found, controller = self._found, desk.controller
-        if found is not None and isinstance(controller, Controller):
-            count = carryover.restore_budget(desk, controller, found, now, time.time())
+        controller, spends = desk.controller, carryover.read_spends(self._carried.appended)
+        if isinstance(controller, Controller) and (self._found is not None or spends):
+            count = carryover.restore_budget(desk, controller, self._found, spends, now, time.time())
             self.log.info("budget_resumed", further=count)
         return []
 
@@ -377,6 +386,8 @@
                 self.hosts.set_up(order)
             case d.Commit():
                 self.journal.commit(order)
+            case d.Spent():
+                self._spent(order)
             case d.AskFate():
                 self.journal.resume(order)
             case d.Fated():
--- a/otterglade/lab/stage.py
+++ b/otterglade/lab/stage.py
@@ -269,6 +269,8 @@
     def kill_gateway(self, number: int) -> None:
         self.record.write("gateway_down", gateway=number, address=self.gateways[number].address)
         self.gateways[number].kill()
+        # A process with many threads takes its time to end, and its sockets take connections until then.
+        self.record.write("gateway_gone", gateway=number, address=self.gateways[number].address)
 
     def restart_gateway(self, number: int) -> None:
         self._gateway_up(number, self._start_gateway(number))
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -17,7 +17,7 @@
 from otterglade.core.policy import Controller
 from otterglade.gateway.record import RecordError, replay
 from otterglade.lab.day import play, rules_of, summary
-from otterglade.lab.scenarios import make
+from otterglade.lab.scenarios import TWO, Trouble, make
 from otterglade.lab.stage import Layout, Stage
 from otterglade.referee.judge import RULES, Verdict, judge
 from otterglade.referee.records import load
@@ -57,6 +57,24 @@
     assert verdict.broken()[rule] > 0, verdict
 
 
+def restarted_day(folder: Path, plant: str) -> Verdict:
+    """Hosts that turn everything away, and one gateway killed again and again within its window."""
+    day = make("refuse", 9.0, 11, replace(TWO, gateways=1, late_list=0.1))
+    kills = tuple(Trouble(2.0 + 1.6 * n, "gateway_kill", 0, 0.2) for n in range(4))
+    refused = tuple(Trouble(0.5, "refuse", n, 8.0) for n in range(day.layout.hosts))
+    return play(replace(day, rate=10.0, watch=(1.0, 3.0), troubles=refused + kills), folder, 11, plant)
+
+
+@pytest.mark.long
+@pytest.mark.parametrize("plant", ["", "forgets"])
+def test_a_killed_gateway_keeps_its_budget_and_one_that_forgets_it_is_found(
+    plant: str, tmp_path: Path
+) -> None:
+    verdict = restarted_day(tmp_path, plant)
+    assert verdict.further > 3
+    assert (verdict.broken()["budget"] > 0) == bool(plant), verdict
+
+
 def test_fifty_sessions_playing_when_their_gateway_is_killed_go_on_after_its_return(tmp_path: Path) -> None:
     stage = Stage(Layout(hosts=3, racks=1, link=2000.0, slots=100, late_list=0.0, by_probe=False), tmp_path)
     try:
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import os
 import threading
 from collections.abc import Callable
 from pathlib import Path
@@ -12,6 +13,8 @@
 from hypothesis import strategies as st
 
 from otterglade.store import frames
+from otterglade.store.disk import RealDisk
+from otterglade.store.kept import Kept
 from otterglade.store.log import DamagedError, Log, Recovered
 
 ROOT = Path("/log")
@@ -332,3 +335,58 @@
     found = frames.scan(data + rest, frames.LOG_MAGIC, 0)
     assert [*found.records[: len(records)]] == records
     assert found.whole or found.good >= len(data)
+
+
+def test_what_is_kept_is_replaced_whole_and_what_came_after_it_is_found(tmp_path: Path) -> None:
+    kept = Kept(tmp_path, "snapshot", "log")
+    assert (kept.load(), kept.appended) == (None, b"")
+    kept.append(b"one")
+    kept.append(b"two")
+    again = Kept(tmp_path, "snapshot", "log")
+    assert again.appended == b"onetwo"
+    again.save(b"all of it")
+    again.append(b"three")
+    last = Kept(tmp_path, "snapshot", "log")
+    assert (last.load(), last.appended) == (b"all of it", b"three")
+    for one in (kept, again, last):
+        one.close()
+
+
+def test_a_record_that_the_disk_took_in_part_is_cut_off_again(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    kept, write = Kept(tmp_path, "snapshot", "log"), os.write
+    kept.append(b"whole")
+
+    def full(fd: int, data: bytes) -> int:
+        write(fd, data[:2])
+        raise OSError(errno.ENOSPC, "no space")
+
+    monkeypatch.setattr(os, "write", full)
+    with pytest.raises(OSError, match="no space"):
+        kept.append(b"lost")
+    monkeypatch.setattr(os, "write", write)
+    kept.append(b"next")
+    kept.close()
+    assert Kept(tmp_path, "snapshot", "log").appended == b"wholenext"
+
+
+def test_the_real_disk_asks_the_kernel_to_sync() -> None:
+    """Only a power cut would show that it does not: so the descriptor is one that can't be synced."""
+    read, write = os.pipe()
+    try:
+        with pytest.raises(OSError) as error:
+            RealDisk().sync(write)
+        assert error.value.errno == errno.EINVAL
+    finally:
+        os.close(read)
+        os.close(write)
+
+
+def test_the_real_disk_syncs_a_folder_by_its_own_descriptor(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    synced = []
+    monkeypatch.setattr(os, "fsync", lambda fd: synced.append(os.fstat(fd).st_ino))
+    RealDisk().sync_folder(tmp_path)
+    assert synced == [tmp_path.stat().st_ino]
