--- a/tests/test_carryover.py
+++ b/tests/test_carryover.py
@@ -65,7 +65,7 @@
 
 
 def test_module_and_desk_each_have_the_window_back() -> None:
-    """Either alone would refuse the attempt; each is looked at by itself, as each may be the one that binds."""
+    """Either alone would refuse the attempt; so each is looked at by itself."""
     room = Room(replace(RATIONED, budget_share=0.2))
     room.play(("p", 0, "a"))
     spend(room, "a")
