--- a/otterglade/referee/judge.py
+++ b/otterglade/referee/judge.py
@@ -369,10 +369,13 @@
     taken: dict[str, list[float]] = defaultdict(list)
     asking: dict[tuple[str, str], list[tuple[float, float]]] = defaultdict(list)
     ends = {x["request"]: x["t"] for x in records.of(records.players, "answer", "broken")}
+    never_came = {
+        x["request"] for x in records.of(records.players, "broken") if x["phase"] in ("CONNECT", "UNSENT")
+    }
     for event in records.of(records.players, "request"):
         until = ends.get(event["request"], event["t"] + event["patience"])
         asking[event["gateway"], event["viewer"]].append((event["t"], until))
-        if "repeats" not in event:
+        if "repeats" not in event and event["request"] not in never_came:
             taken[event["gateway"]].append(event["t"])
     for event in records.of(records.players, "break"):
         if REFUSED_SEGMENT.match(event["cause"]):
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -59,10 +59,11 @@
 
 def restarted_day(folder: Path, plant: str) -> Verdict:
     """Hosts that turn everything away, and one gateway killed again and again within its window."""
-    day = make("refuse", 9.0, 11, replace(TWO, gateways=1, late_list=0.1))
-    kills = tuple(Trouble(2.0 + 1.6 * n, "gateway_kill", 0, 0.2) for n in range(4))
-    refused = tuple(Trouble(0.5, "refuse", n, 8.0) for n in range(day.layout.hosts))
-    return play(replace(day, rate=10.0, watch=(1.0, 3.0), troubles=refused + kills), folder, 11, plant)
+    layout = replace(TWO, hosts=12, titles=12, gateways=1, late_list=0.1, budget=(5.0, 3.0, 0.02))
+    day = make("refuse", 9.0, 11, layout)
+    kills = tuple(Trouble(3.0 + 2.5 * n, "gateway_kill", 0, 0.1) for n in range(2))
+    refused = tuple(Trouble(0.2, "refuse", n, 8.5) for n in range(day.layout.hosts))
+    return play(replace(day, rate=20.0, watch=(1.0, 3.0), troubles=refused + kills), folder, 11, plant)
 
 
 @pytest.mark.long
