Newcomers wait on a porch without a thread; a burst of half requests holds nobody up

Cause: each connection cost a new thread at once; 4,000 connections in half a second, each with half a request line, made a viewer who then came wait 4.3 s.

--- a/otterglade/gateway/daemon.py
+++ b/otterglade/gateway/daemon.py
@@ -48,6 +48,8 @@
     keep_alive=False,
 )  # fmt: skip
 
+LATE = http1.response(408, [(b"Content-Type", b"text/plain")], b"head took too long\n", keep_alive=False)
+
 
 MakeDecider = Callable[[api.Settings, int], Decider]
 
@@ -146,7 +148,15 @@
             self._lock.release()
             raise
         self.listener = Listener(
-            sock, self._serve, budget=limits.connections, busy=FULL, on_failure=self._failed
+            sock,
+            self._serve,
+            budget=limits.connections,
+            busy=FULL,
+            on_failure=self._failed,
+            whole=http1.head_is_whole,
+            late=LATE,
+            idle=limits.idle,
+            head=limits.head,
         )
         self.registry = RegistryClient(
             address(config.registry.address, "registry.address"),
@@ -227,6 +237,7 @@
         self.config = config
         self._times = Timeouts(idle=limits.idle, head=limits.head, body=limits.head, send=limits.send)
         self.listener.budget = limits.connections
+        self.listener.porch.idle, self.listener.porch.head = limits.idle, limits.head
         self.hosts.limit(connect=limits.connect, silence=limits.host_silence, setups=limits.setups)
         keys = token_keys(config)
         if "tokens" in changed and keys is not None and config.tokens is not None:
@@ -249,7 +260,9 @@
             "uptime_s": round(time.monotonic() - self._began, 3),
             "connections": self.listener.connections,
             "connections_most": self.listener.most,
+            "connections_waiting": self.listener.porch.count,
             "turned_away": self.listener.turned_away,
+            "heads_late": self.listener.late,
             "threads": threading.active_count(),
             "waiting": self.front.waiting,
             "playing": len(self.sessions.live),
@@ -274,8 +287,8 @@
         host = self.hosts.hosts.get(server)
         return None if host is None else host.client
 
-    def _serve(self, stream: Stream, peer: Address) -> None:
-        serve(stream, peer, self._handle, self._times, stopping=lambda: self.front.stopping)
+    def _serve(self, stream: Stream, peer: Address, first: bytes) -> None:
+        serve(stream, peer, self._handle, self._times, stopping=lambda: self.front.stopping, first=first)
 
     def _handle(self, exchange: Exchange) -> bytes | None:
         return self.front.handle(exchange)
--- a/otterglade/net/http.py
+++ b/otterglade/net/http.py
@@ -63,12 +63,17 @@
     times: Timeouts,
     limits: http1.Limits = http1.DEFAULT_LIMITS,
     stopping: Callable[[], bool] = lambda: False,
+    first: bytes = b"",
 ) -> None:
-    """Serve a connection until it ends; returns when it should be closed. Peers' failures end it quietly."""
+    """Serve a connection until it ends; returns when it should be closed. Peers' failures end it quietly.
+
+    `first`: what has been read of it already.
+    """
     reader = http1.RequestReader(limits)
     try:
         while True:
-            data = b"" if reader.started else _first_bytes(stream, times)
+            data = first or (b"" if reader.started else _first_bytes(stream, times))
+            first = b""
             if data is None:
                 return
             request, body = reader.repeated(data) if data else None, b""
--- a/otterglade/standins/host.py
+++ b/otterglade/standins/host.py
@@ -171,8 +171,8 @@
         spawn("clock", self._clock, self._on_failure)
         self.record.write("up", host=self.spec.id, cold=self.spec.started_cold, port=self.listener.address[1])
 
-    def _serve(self, stream: Stream, peer: Address) -> None:
-        serve(stream, peer, self._handle, Timeouts())
+    def _serve(self, stream: Stream, peer: Address, first: bytes) -> None:
+        serve(stream, peer, self._handle, Timeouts(), first=first)
 
     # Faults
 
--- a/otterglade/standins/registry.py
+++ b/otterglade/standins/registry.py
@@ -52,8 +52,8 @@
     def _encoded(index: int, hosts: dict[int, dict[str, Any]]) -> bytes:
         return msgspec.json.encode({"index": index, "hosts": list(hosts.values())})
 
-    def _serve(self, stream: Stream, peer: Address) -> None:
-        serve(stream, peer, self._handle, Timeouts(idle=120.0))
+    def _serve(self, stream: Stream, peer: Address, first: bytes) -> None:
+        serve(stream, peer, self._handle, Timeouts(idle=120.0), first=first)
 
     def _handle(self, exchange: Exchange) -> bytes | None:
         path, _, query = exchange.request.target.decode("ascii").partition("?")
--- a/otterglade/wire/http1.py
+++ b/otterglade/wire/http1.py
@@ -321,6 +321,13 @@
     return b"close" not in options and (minor == 1 or b"keep-alive" in options)
 
 
+def head_is_whole(data: bytearray, before: int, most: int = DEFAULT_LIMITS.head) -> bool:
+    """Whether a request's head ends in these bytes, or is longer than any that is read; `before`: bytes that
+    were looked at already. A line may end in LF alone, as the reader itself refuses or takes it."""
+    start = max(0, before - 3)
+    return len(data) > most or data.find(b"\n\r\n", start) >= 0 or data.find(b"\n\n", start) >= 0
+
+
 class RequestReader(_Reader):
     """The server's side: requests as they come, pipelined ones after one another."""
 
