--- a/otterglade/cli/main.py
+++ b/otterglade/cli/main.py
@@ -48,6 +48,7 @@
 @click.option("--plant", default="", hidden=True, help="Break a rule on purpose, for the referee's tests.")
 def run(file: Path, plant: str) -> None:
     """Run a gateway with the configuration script FILE until SIGTERM."""
+    from ..gateway import lifecycle
     from ..gateway.daemon import Gateway
     from ..obs.logs import logger
 
@@ -68,6 +69,7 @@
         plants.plant(gateway, plant)
     asked = _signals()
     gateway.start()
+    lifecycle.steady()
     host, port = gateway.address
     _ready(address=f"{host}:{port}", gateway=f"http://{host}:{port}", run=gateway.epoch)
     again = threading.Event()
--- a/otterglade/core/carryover.py
+++ b/otterglade/core/carryover.py
@@ -10,7 +10,6 @@
 from __future__ import annotations
 
 import math
-import struct
 
 import msgspec
 
@@ -95,27 +94,14 @@
     )  # fmt: skip
 
 
-SPEND = struct.Struct("<Qd")
-"""One further attempt, written down before it went out: its number, Unix time."""
-
-
-def spend_record(number: int, wall: float) -> bytes:
-    return SPEND.pack(number, wall)
-
-
-def read_spends(data: bytes) -> list[tuple[int, float]]:
-    """What was written one by one; a last record that a kill cut short was of an attempt never sent."""
-    whole = len(data) - len(data) % SPEND.size
-    return [x for x in SPEND.iter_unpack(data[:whole]) if math.isfinite(x[1])]
-
-
 def restore_budget(
     desk: Desk, controller: Controller, found: Carryover | None, spends: list[tuple[int, float]], now: float,
     wall: float,
 ) -> int:  # fmt: skip
     """Give the window of sessions and further attempts back, before the first request; how many attempts.
 
-    The snapshot has both up to when it was taken. What came after it: the attempts were written one by one,
+    `spends`: further attempts as they were written one by one, number and Unix time. The snapshot has both
+    kinds up to when it was taken. What came after it: the attempts were written one by one,
     the sessions are lost, at most a snapshot's interval of them, which is the strict side. A wall clock that
     was set back makes the past look like the future: then attempts count as of now, and no sessions do.
     """
--- a/otterglade/gateway/daemon.py
+++ b/otterglade/gateway/daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import os
 import secrets
 import threading
@@ -26,7 +27,7 @@
 from ..net.threads import spawn
 from ..obs.logs import Log, on_failure
 from ..store.disk import Disk
-from ..store.kept import Kept
+from ..store.ring import Ring
 from ..wire import http1
 from .fleet import Cache, Clock, HostList, ListError, server_list
 from .front import Front, Offer
@@ -41,8 +42,11 @@
 
 FIRST_LIST = 2.0
 """Seconds that a start waits for a list of hosts, from disk or registry, before players are taken."""
-SWEEP = 0.5
-"""Seconds between two looks for sessions whose viewers have stopped fetching."""
+SWEEP = 0.1
+"""Seconds between two looks for sessions whose viewers have stopped fetching: so short that what ends comes
+in small portions, beside which a set-up is not held up."""
+KEPT_EVERY = 5
+"""Sweeps between two snapshots of what a restart needs."""
 FULL = http1.response(
     503, [(b"Retry-After", b"1"), (b"Content-Type", b"text/plain")], b"too many connections\n",
     keep_alive=False,
@@ -105,8 +109,9 @@
         self._lock = Lock(folder)
         self.phase = "starting"
         """starting, finding out, taking, stopping, stopped."""
-        self._carried = Kept(folder, "carryover", "spent")
+        self._carried = folder / "carryover"
         self._found: carryover.Carryover | None = None
+        self._spends: Ring | None = None
         self._carry_trouble = False
         self._cache, self._clock = Cache(folder), Clock.now()
         self._recorder = (
@@ -178,6 +183,10 @@
         self.loop.start()
         self.loop.put(self.journal.prepare)
         self._found = self._load_carried()
+        try:
+            self._spends = Ring(self._carried.with_name("spent"))
+        except OSError as error:  # free sessions go on: only a kill within the window would forget attempts
+            self.log.warning("spent_not_kept", cause=str(error))
         self.loop.put(self._resume_budget)
         try:
             cached = self._cache.load()
@@ -319,10 +328,13 @@
         self.loop.put(tell)
 
     def _sweep(self) -> None:
-        while not self._stopped.wait(SWEEP):
+        for count in itertools.count(1):
+            if self._stopped.wait(SWEEP):
+                return
             self.loop.put_behind(self._ending(x) for x in self._quiet())
-            self.loop.put(self._retry_store)
-            self.loop.put(self._carry_over)
+            if count % KEPT_EVERY == 0:
+                self.loop.put(self._retry_store)
+                self._carry_over()
 
     def _retry_store(self, desk: Desk, now: float) -> list[d.Order]:
         self.journal.retry()
@@ -345,42 +357,43 @@
 
         return end
 
-    def _carry_over(self, desk: Desk, now: float) -> list[d.Order]:
-        """Keep what the next run should know. No sync: a kill keeps what was written, a power cut is long."""
-        controller = desk.controller
-        if isinstance(controller, Controller):
-            data = carryover.encode(carryover.take(desk, controller, now, time.time()))
-            try:
-                self._carried.save(data)
-            except OSError as error:
-                self._carry_failed(error)
-            else:
-                self._carry_trouble = False
-        return []
+    def _carry_over(self) -> None:
+        """Keep what the next run should know, on the sweep's own thread: to replace a file can take a quarter
+        of a second where the disk is busy, in which no alarm would ring. No sync: a kill keeps what was
+        written, a power cut takes longer than what is kept is good for."""
+        taken, done = list[bytes](), threading.Event()
+
+        def take(desk: Desk, now: float) -> list[d.Order]:
+            if isinstance(desk.controller, Controller):
+                taken.append(carryover.encode(carryover.take(desk, desk.controller, now, time.time())))
+            done.set()
+            return []
+
+        self.loop.put(take)
+        if not done.wait(SWEEP * KEPT_EVERY) or not taken:
+            return
+        try:
+            beside = self._carried.with_suffix(".new")
+            beside.write_bytes(taken[0])
+            beside.replace(self._carried)
+        except OSError as error:
+            if not self._carry_trouble:
+                self.log.warning("carryover_not_saved", cause=str(error))
+            self._carry_trouble = True
+        else:
+            self._carry_trouble = False
 
     def _load_carried(self) -> carryover.Carryover | None:
         try:
-            data = self._carried.load()
-            return None if data is None else carryover.decode(data)
+            return carryover.decode(self._carried.read_bytes())
+        except FileNotFoundError:
+            return None
         except (OSError, carryover.CarryoverError) as error:
             self.log.warning("carryover_unusable", cause=str(error))
             return None
 
-    def _spent(self, order: d.Spent) -> None:
-        """Written before the attempt goes out. Where the disk takes nothing it goes out all the same: it is
-        allowed now, and only a kill within the window would forget it."""
-        try:
-            self._carried.append(carryover.spend_record(order.number, time.time()))
-        except OSError as error:
-            self._carry_failed(error)
-
-    def _carry_failed(self, error: OSError) -> None:
-        if not self._carry_trouble:
-            self.log.warning("carryover_not_saved", cause=str(error))
-        self._carry_trouble = True
-
     def _resume_budget(self, desk: Desk, now: float) -> list[d.Order]:
-        controller, spends = desk.controller, carryover.read_spends(self._carried.appended)
+        controller, spends = desk.controller, self._spends.found if self._spends is not None else []
         if isinstance(controller, Controller) and (self._found is not None or spends):
             count = carryover.restore_budget(desk, controller, self._found, spends, now, time.time())
             self.log.info("budget_resumed", further=count)
@@ -400,7 +413,8 @@
             case d.Commit():
                 self.journal.commit(order)
             case d.Spent():
-                self._spent(order)
+                if self._spends is not None:
+                    self._spends.put(order.number, time.time())
             case d.AskFate():
                 self.journal.resume(order)
             case d.Fated():
--- a/otterglade/gateway/hosts.py
+++ b/otterglade/gateway/hosts.py
@@ -25,6 +25,8 @@
 
 NEVER_RAN = b"setup-ran"
 """The field by which a host says in a refusal that the set-up was not started."""
+PACE = 0.0005
+"""Seconds between the starts of two chores while the gateway is in service."""
 CHORE_LIMIT = 2.0
 """Seconds for a release, a rung or a probe: none of them holds up a viewer."""
 
@@ -79,7 +81,7 @@
         self._loop, self._log, self._on_failure = loop, log, on_failure
         self._connect, self._silence = connect, silence
         self._setups = Workers("set-up", setups, on_failure)
-        self._chores = Workers("chore", 16, on_failure)
+        self._chores = Workers("chore", 16, on_failure, pace=PACE)
         self._random = random.Random(seed)
         self.hosts: dict[int, Host] = {}
         self._calls: dict[tuple[int, int], Call] = {}
@@ -157,6 +159,7 @@
         """Finish what was ordered, at most for `limit` seconds; no events are followed any more."""
         for follow in self._follows.values():
             follow.stopped.set()
+        self._chores.pace = 0.0
         return self._chores.wait_idle(limit)
 
     # Set-ups
--- a/otterglade/gateway/lifecycle.py
+++ b/otterglade/gateway/lifecycle.py
@@ -4,7 +4,9 @@
 
 import errno
 import fcntl
+import gc
 import os
+import sys
 from pathlib import Path
 
 from ..config.schema import Config
@@ -34,6 +36,23 @@
             self._fd = -1
 
 
+SWITCH = 0.001
+"""Seconds for which a thread may hold the interpreter while another waits for it; Python's own 5 ms are the
+p99 of a set-up's four hand-overs between threads."""
+
+
+def steady() -> None:
+    """Set the interpreter up for a process that answers within milliseconds; once all has been loaded.
+
+    What was loaded never goes and is left out of collections, and the rest is looked through less often: a
+    full collection held every thread up for 20 to 30 ms.
+    """
+    sys.setswitchinterval(SWITCH)
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(20_000, 20, 50)
+
+
 IN_SERVICE = ("limits", "log", "tokens")
 """Blocks whose changes take effect without a restart."""
 
--- a/otterglade/net/workers.py
+++ b/otterglade/net/workers.py
@@ -4,6 +4,7 @@
 
 import queue
 import threading
+import time
 from collections.abc import Callable
 
 from .threads import Failure, spawn
@@ -14,8 +15,13 @@
 class Workers:
     """Runs jobs in the order given, as many at once as it may have threads."""
 
-    def __init__(self, name: str, most: int, on_failure: Failure, idle: float = 10.0) -> None:
-        """`most`: threads at once; `idle`: seconds after which one without work ends."""
+    def __init__(
+        self, name: str, most: int, on_failure: Failure, idle: float = 10.0, pace: float = 0.0
+    ) -> None:
+        """`most`: threads at once; `idle`: seconds after which one without work ends; `pace`: seconds from a
+        job's start to the next, so that a heap of jobs leaves the interpreter to those who wait for it.
+        """
+        self.pace, self._next = pace, 0.0
         self._name, self.most, self._on_failure, self._idle_limit = name, most, on_failure, idle
         self._jobs: queue.SimpleQueue[Job] = queue.SimpleQueue()
         self._lock = threading.Lock()
@@ -54,6 +60,14 @@
         with self._empty:
             return self._empty.wait_for(lambda: not self._pending, limit)
 
+    def _keep_pace(self) -> None:
+        with self._lock:
+            now = time.monotonic()
+            start = max(now, self._next)
+            self._next = start + self.pace
+        if start > now:
+            time.sleep(start - now)
+
     def _work(self) -> None:
         while True:
             try:
@@ -65,6 +79,8 @@
                         return
                 continue
             try:
+                if self.pace:
+                    self._keep_pace()
                 job()
             except Exception as error:
                 self._on_failure(self._name, error)
--- a/tests/test_carryover.py
+++ b/tests/test_carryover.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from dataclasses import replace
 from pathlib import Path
 
@@ -19,13 +18,12 @@
     Turn,
     decode,
     encode,
-    read_spends,
     restore_budget,
     restore_fleet,
-    spend_record,
     take,
 )
 from otterglade.core.policy import Controller
+from otterglade.store.ring import Ring
 
 from .helpers import SITE, entry
 from .test_desk import Room, of, only
@@ -93,12 +91,11 @@
     room = Room(RATIONED)
     kept = decode(encode(take(room.desk, controller_of(room), room.now, WALL)))
     assert spend(room, "a") == 1
-    data = b"".join(spend_record(x.number, WALL + 0.3) for x in of(room.orders, d.Spent))
-    assert read_spends(data) == [(1, WALL + 0.3)]
+    spends = [(x.number, WALL + 0.3) for x in of(room.orders, d.Spent)]
+    assert spends == [(1, WALL + 0.3)]
     for after, further in ((1.0, 0), (6.0, 1)):  # within the window, and after it
         for snapshot in (kept, None):
             new = Room(RATIONED)
-            spends = read_spends(data + b"cut short")
             restore_budget(new.desk, controller_of(new), snapshot, spends, new.now, WALL + after)
             assert spend(new, "b") == further
             assert new.desk.budget.spends == 1 + further
@@ -185,8 +182,7 @@
     house.gateway.stop()
     # As a kill would leave it: no snapshot, what was written before each attempt.
     (house.folder / "state" / "carryover").unlink(missing_ok=True)
-    data = b"".join(spend_record(n + 1, time.time()) for n in range(spent))
-    (house.folder / "state" / "spent").write_bytes(data)
+    assert [x for x, _ in Ring(house.folder / "state" / "spent").found] == list(range(1, spent + 1))
     house.start_gateway()
     assert '"budget_resumed"' in house.log_path.read_text()
     house.watch(viewer="w")
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -14,8 +14,8 @@
 
 from otterglade.store import frames
 from otterglade.store.disk import RealDisk
-from otterglade.store.kept import Kept
 from otterglade.store.log import DamagedError, Log, Recovered
+from otterglade.store.ring import RECORD, Ring
 
 ROOT = Path("/log")
 CHANGING = ("write", "sync", "create", "replace", "truncate")
@@ -337,38 +337,40 @@
     assert found.whole or found.good >= len(data)
 
 
-def test_what_is_kept_is_replaced_whole_and_what_came_after_it_is_found(tmp_path: Path) -> None:
-    kept = Kept(tmp_path, "snapshot", "log")
-    assert (kept.load(), kept.appended) == (None, b"")
-    kept.append(b"one")
-    kept.append(b"two")
-    again = Kept(tmp_path, "snapshot", "log")
-    assert again.appended == b"onetwo"
-    again.save(b"all of it")
-    again.append(b"three")
-    last = Kept(tmp_path, "snapshot", "log")
-    assert (last.load(), last.appended) == (b"all of it", b"three")
-    for one in (kept, again, last):
-        one.close()
-
-
-def test_a_record_that_the_disk_took_in_part_is_cut_off_again(
+def test_a_ring_keeps_the_last_records_by_number(tmp_path: Path) -> None:
+    ring = Ring(tmp_path / "ring", slots=8)
+    assert ring.found == []
+    for number in range(1, 12):
+        ring.put(number, number / 2)
+    again = Ring(tmp_path / "ring", slots=8)  # as after a kill: the first was never closed
+    assert again.found == [(x, x / 2) for x in range(4, 12)]
+    again.put(12, 6.0)
+    assert Ring(tmp_path / "ring", slots=8).found[-1] == (12, 6.0)
+
+
+def test_a_record_of_a_ring_cut_short_or_damaged_counts_as_not_written(tmp_path: Path) -> None:
+    path = tmp_path / "ring"
+    ring = Ring(path, slots=4)
+    ring.put(1, 1.0)
+    ring.put(2, 2.0)
+    whole = path.read_bytes()
+    for byte in range(2 * RECORD.size, 3 * RECORD.size):
+        for bit in range(8):
+            path.write_bytes(whole[:byte] + bytes([whole[byte] ^ 1 << bit]) + whole[byte + 1 :])
+            assert Ring(path, slots=4).found == [(1, 1.0)]
+    path.write_bytes(whole[:30])  # cut: it has its size again when it is opened
+    assert Ring(path, slots=4).found == []
+
+
+def test_a_ring_without_room_on_the_disk_is_told_when_it_is_opened(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    kept, write = Kept(tmp_path, "snapshot", "log"), os.write
-    kept.append(b"whole")
-
-    def full(fd: int, data: bytes) -> int:
-        write(fd, data[:2])
+    def full(fd: int, offset: int, size: int) -> None:
         raise OSError(errno.ENOSPC, "no space")
 
-    monkeypatch.setattr(os, "write", full)
+    monkeypatch.setattr(os, "posix_fallocate", full)
     with pytest.raises(OSError, match="no space"):
-        kept.append(b"lost")
-    monkeypatch.setattr(os, "write", write)
-    kept.append(b"next")
-    kept.close()
-    assert Kept(tmp_path, "snapshot", "log").appended == b"wholenext"
+        Ring(tmp_path / "ring")
 
 
 def test_the_real_disk_asks_the_kernel_to_sync() -> None:
