Fifty-three faults planted by hand; tests for those that nothing noticed

Need: two planted faults had gone unnoticed; nobody knew how many more would. Change: tests/planted.py plants one fault at a time in core/, store/ and gateway/hosts.py in a copy of the tree and says which test noticed.

--- /dev/null
+++ b/tests/planted.py
@@ -0,0 +1,144 @@
+"""Faults planted in the program's own code, one at a time, and whether any test notices.
+
+    python -m tests.planted [PATTERN]
+
+Each runs in a copy of the tree. A test that has never failed is not known to work; a fault that survives
+gets a test, or a reason in `docs/results.md`. Not part of the test run: it takes minutes.
+"""
+# ruff: noqa: E501 - a fault a line
+
+from __future__ import annotations
+
+import shutil
+import subprocess
+import sys
+import tempfile
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+DESK = "test_desk test_margin test_carryover"
+STORE = "test_store"
+RECOVERY = "test_recovery test_desk"
+HOSTS = "test_gateway test_recovery"
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One change of one place, and the tests that are asked."""
+
+    file: str
+    old: str
+    new: str
+    tests: str
+
+
+FAULTS = tuple(
+    Fault(*x)
+    for x in (
+        # Sessions and attempts
+        ("core/sessions.py", "held.out = None\n", "pass\n", DESK),
+        ("core/sessions.py", "if outcome not in api.NEVER_RAN:", "if outcome is api.Outcome.RESET:", DESK),
+        ("core/sessions.py", "held.may_have_run = True\n", "pass\n", DESK),
+        ("core/sessions.py", "or held.out is not None:", "or False:", DESK),
+        ("core/sessions.py", "if held.attempts and not self._further():", "if False:", DESK),
+        ("core/sessions.py", "min(held.deadline, self.now + time_out)", "self.now + time_out", DESK),
+        ("core/sessions.py", "not (held.paid and self.terms.durable)", "not self.terms.durable", RECOVERY),
+        ("core/sessions.py", "if held.rung != held.told:", "if False:", DESK),
+        ("core/sessions.py", "if was_playing and held.committed is not None:", "if False:", RECOVERY),
+        ("core/sessions.py", "drains and not held.paid and not held.moving", "drains and not held.moving", DESK),
+        ("core/sessions.py", "self.at.get(held.server, {}).pop(held.number, None)", "pass", DESK),
+        ("core/sessions.py", "if until > now and len(", "if len(", DESK),
+        ("core/budget.py", "len(self.further) + 1 >", "len(self.further) >", DESK),
+        ("core/budget.py", "start + EDGE), (self.further, start - EDGE)", "start), (self.further, start + 1)", DESK),
+        ("core/budget.py", "self.further.extend(further)", "pass", DESK),
+        # The desk
+        ("core/desk.py", "elif now < self.unsure.get(ask.key, -math.inf):", "elif False:", DESK),
+        ("core/desk.py", "elif outcome is api.Outcome.DONE:", "elif False:", DESK),
+        ("core/desk.py", "if not trouble:\n", "if trouble:\n", RECOVERY),
+        ("core/desk.py", "if old is not None and entry.started > old.started:", "if False:", DESK),
+        ("core/desk.py", "if due and held.sent:", "if due:", RECOVERY),
+        ("core/desk.py", "and held.attempts - 1 == attempt:", ":", DESK),
+        ("core/desk.py", "full = bool(terms.seats) and", "full = False and", RECOVERY + " test_tokens"),
+        ("core/desk.py", "if verdict.fate is Fate.UNSURE:\n            self.unsure", "if False:\n            self.unsure", RECOVERY),
+        ("core/desk.py", "self._out.append(Fated(held.number, held.out, Fate.UNSURE))", "pass", RECOVERY),
+        ("core/margin.py", "if now - due > self.lateness(now):", "if now - due < self.lateness(now):", DESK),
+        # What a host's word proves
+        ("core/attempts.py", "if not entry.epoch or epoch != entry.epoch:", "if epoch != entry.epoch:", RECOVERY),
+        ("core/attempts.py", "Settled(Fate.OVER if played else Fate.NEVER_RAN)", "Settled(Fate.NEVER_RAN)", RECOVERY),
+        ("core/attempts.py", "Fate.UNSURE and now - entry.at >", "Fate.UNSURE and entry.at - now >", RECOVERY),
+        ("core/attempts.py", "self.appended > 1000 + 4", "self.appended < 1000 + 4", RECOVERY),
+        ("core/outcomes.py", "(Phase.SENT, Trouble.BROKEN): Outcome.RESET", "(Phase.SENT, Trouble.BROKEN): Outcome.REFUSED", DESK),
+        ("core/outcomes.py", "if status in (410, 503) and never_ran:", "if status in (410, 503):", DESK),
+        ("core/tokens.py", "if now > claim.until:", "if now < claim.until:", "test_tokens"),
+        ("core/tokens.py", 'f"{name}.{payload}".encode()', "payload.encode()", "test_tokens"),
+        ("core/carryover.py", "if number > kept.spends]", "]", DESK),
+        ("core/carryover.py", "same and now + turn.next_turn - gone > server.next_turn", "same", DESK),
+        ("core/carryover.py", "desk.budget.resume(taken, further)", "desk.budget.resume(taken, [])", DESK),
+        # The log
+        ("store/disk.py", "os.fdatasync(fd)", "pass", STORE),
+        ("store/disk.py", "os.fsync(fd)", "pass", STORE),
+        ("store/log.py", "self._abandon()\n            raise", "raise", STORE),
+        ("store/log.py", "            self._disk.truncate(self._fd, found.good)\n", "", STORE),
+        ("store/log.py", "if stale and stale[0] < number:", "if stale and stale[0] <= number:", STORE),
+        ("store/log.py", "found = self._up_to(number, found_logs[number + 1].previous)", "pass", STORE),
+        ("store/frames.py", "while found >= 0 and after is None:", "while False:", STORE),
+        ("store/frames.py", "google_crc32c.value(length + record)", "google_crc32c.value(record)", STORE),
+        ("store/ring.py", "number and number % self._slots == slot", "number", STORE),
+        # The client of the hosts
+        ("gateway/hosts.py", "fresh=order.paid,", "fresh=False,", HOSTS),
+        ("gateway/hosts.py", "if host is None or call.cancelled:", "if host is None:", HOSTS),
+        ("gateway/hosts.py", "if started is not None and epoch != started:", "if False:", HOSTS),
+        ("gateway/hosts.py", "if session in self._taken_over:", "if False:", HOSTS),
+        ("gateway/hosts.py", "for wait in (0.1, 0.5, 0.0):", "for wait in (0.0,):", HOSTS),
+        ("gateway/hosts.py", 'fields.append((b"Last-Event-ID"', 'fields.append((b"X-Last"', HOSTS),
+        ("gateway/hosts.py", "if error.phase is not Phase.CONNECT or error.trouble is Trouble.REFUSED or failures > 2:", "if False:", HOSTS),
+        ("gateway/hosts.py", "deadline=order.until + 0.05", "deadline=order.until + 60.0", HOSTS),
+    )
+)  # fmt: skip
+
+
+def noticed(fault: Fault) -> str:
+    """The test that failed with the fault in; empty: none did."""
+    with tempfile.TemporaryDirectory(prefix="planted-") as made:
+        folder = Path(made)
+        for part in ("otterglade", "tests"):
+            shutil.copytree(ROOT / part, folder / part, ignore=shutil.ignore_patterns("__pycache__"))
+        shutil.copy(ROOT / "pyproject.toml", folder)
+        path = folder / "otterglade" / fault.file
+        text = path.read_text()
+        if text.count(fault.old) < 1:
+            raise SystemExit(f"{fault.file}: {fault.old!r} is not there any more")
+        path.write_text(text.replace(fault.old, fault.new, 1))
+        files = [f"tests/{x}.py" for x in fault.tests.split()]
+        done = subprocess.run(
+            [sys.executable, "-m", "pytest", "-x", "-q", "-m", "not long", "-p", "no:cacheprovider", *files],
+            cwd=folder, capture_output=True, text=True, timeout=600,
+        )  # fmt: skip
+        if done.returncode == 0:
+            return ""
+        failed = [x for x in done.stdout.splitlines() if x.startswith(("FAILED", "ERROR"))]
+        return failed[0] if failed else done.stdout[-300:]
+
+
+def told(faults: tuple[Fault, ...]) -> Iterator[tuple[Fault, str]]:
+    with ThreadPoolExecutor(4) as pool:
+        yield from zip(faults, pool.map(noticed, faults), strict=True)
+
+
+def main() -> None:
+    pattern = sys.argv[1] if len(sys.argv) > 1 else ""
+    chosen = tuple(x for x in FAULTS if pattern in f"{x.file} {x.old}")
+    survivors = 0
+    for fault, said in told(chosen):
+        survivors += not said
+        change = f"{fault.file}: {fault.old.strip()[:60]!r} -> {fault.new.strip()[:40]!r}"
+        print(f"{'noticed ' if said else 'SURVIVES'} {change}  {said[:110]}", flush=True)
+    print(f"{len(chosen) - survivors} of {len(chosen)} planted faults noticed")
+    sys.exit(1 if survivors else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -16,6 +16,7 @@
 import pytest
 
 from otterglade.lab.stage import Layout
+from otterglade.net.http import Client
 from otterglade.standins.player import Browser, play
 from otterglade.standins.titles import segment
 from otterglade.wire import hls
@@ -517,3 +518,23 @@
     until(lambda: "registry_lost" in house.log_path.read_text())
     assert "hosts[0].address" in house.log_path.read_text()
     assert house.watch().status == 200
+
+
+def test_paid_set_ups_go_out_on_connections_of_their_own(
+    build: Build, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """An idle connection may be closing at this moment: then nobody could say whether the set-up ran."""
+    fresh: dict[bytes, list[bool]] = {}
+    exchange = Client.exchange
+
+    def noted(self: Client, method: bytes, target: bytes, **given: Any) -> Any:
+        if method == b"PUT" and target.startswith(b"/sessions/") and target.count(b"/") == 2:
+            fresh.setdefault(msgspec.json.decode(given["body"])["class"], []).append(given["fresh"])
+        return exchange(self, method, target, **given)
+
+    monkeypatch.setattr(Client, "exchange", noted)
+    house = build()
+    for n in range(3):
+        assert house.watch("sign-off", viewer=f"p{n}").status == 200
+        assert house.watch("timelapse", viewer=f"f{n}").status == 200
+    assert fresh == {"sign-off": [True] * 3, "timelapse": [False] * 3}
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -229,6 +229,26 @@
 FIRST = ROOT / f"log-{0:016d}"
 
 
+def test_what_was_told_as_failed_is_not_read_once_a_later_segment_says_so() -> None:
+    """Written whole, its sync failed: the segment is given up, and its end is no damage and no record."""
+    disk = FaultyDisk()
+    driver = Driver(disk, segment=1 << 20)
+    driver.append(b"good")
+    syncs = [0]
+
+    def once(n: int, what: str) -> OSError | None:
+        syncs[0] += what == "sync"
+        return OSError(errno.EIO, "sync") if what == "sync" and syncs[0] == 1 else None
+
+    disk.fail = once
+    driver.append(b"failed")
+    driver.append(b"later")
+    assert (driver.told[b"failed"] is None, driver.told[b"later"]) == (False, None)
+    found = Driver(disk.after_kill(1.0), segment=1 << 20).recovered
+    assert found.records == (b"good", b"later")
+    assert not found.torn
+
+
 def test_a_torn_tail_is_cut_off_and_told() -> None:
     disk = built(b"one", b"two", b"three")
     whole = bytes(disk.files[FIRST].data)
@@ -346,6 +366,8 @@
     assert again.found == [(x, x / 2) for x in range(4, 12)]
     again.put(12, 6.0)
     assert Ring(tmp_path / "ring", slots=8).found[-1] == (12, 6.0)
+    # A ring of another size has other places: what stands elsewhere is none of its own records.
+    assert [x for x, _ in Ring(tmp_path / "ring", slots=3).found] == []
 
 
 def test_a_record_of_a_ring_cut_short_or_damaged_counts_as_not_written(tmp_path: Path) -> None:
--- a/tests/test_tokens.py
+++ b/tests/test_tokens.py
@@ -37,6 +37,9 @@
         Tokens({"k1": b"x" * 32}, "k1").check(good, 1999.0)
     with pytest.raises(TokenError):
         tokens.check("k1." + "A" * 5000 + ".x", 1999.0)
+    same = Tokens({"k1": KEYS["k1"], "k3": KEYS["k1"]}, "k1")  # the name is signed too
+    with pytest.raises(TokenError, match="forged"):
+        same.check("k3" + good[2:], 1999.0)
 
 
 def test_keys_rotate_without_an_address_going_bad() -> None:
