--- /dev/null
+++ b/otterglade/core/keeper.py
@@ -0,0 +1,97 @@
+"""The keeper of paid attempts: what is written down and when, and what each answer of a host leads to.
+
+Between the desk, which sends and ends attempts, the disk, which only knows bytes, and the hosts, which know
+what ran. No I/O: each method takes the times and says what is to be written and done; the gateway's journal
+and the explorer's world carry the same out.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from . import interface as api
+from .attempts import Book, Entry, Fate, Recovery, Settled, Word, resumed
+from .desk import Desk
+from .messages import Commit, Order, SetUp
+
+
+@dataclass(frozen=True, slots=True)
+class Done:
+    """What an answer about a set-up leads to, in this order."""
+
+    record: bytes | None = None
+    """To be written; nobody waits for it."""
+    again: bool = False
+    """It settled nothing: ask once more."""
+    take_over: int | None = None
+    """The session that goes by the set-up's key from now on."""
+    release: bool = False
+    """Have the host end what it may have of it."""
+    orders: list[Order] = field(default_factory=list)
+
+
+class Keeper:
+    """One for a run of a gateway; belongs to the decision loop."""
+
+    def __init__(self, unsure_for: float, find_out: float) -> None:
+        """Seconds for which what may have run keeps its viewer from another set-up, and for which hosts are
+        asked about what was open at the start."""
+        self._unsure_for, self._find_out = unsure_for, find_out
+        self.book = Book(unsure_for)
+        self.recovery = Recovery((), 0.0, 0.0)
+        self.trouble = ""
+        """Why nothing can be written; empty: it can."""
+
+    def restore(self, records: Iterable[bytes], now: float, wall: float) -> None:
+        """What the log held, in order. Raises attempts.EntryError."""
+        self.book.restore(records)
+        self.book.prune(wall)
+        self.recovery = Recovery(self.book.of_fate(Fate.BEGUN, Fate.RAN), now, self._find_out)
+
+    def prepare(self, desk: Desk, now: float, wall: float) -> None:
+        """Tell the desk what is unsure and what is being found out, before anybody asks."""
+        desk.paid_refused = self.trouble
+        for entry in self.book.of_fate(Fate.UNSURE):
+            desk.unsure[entry.key] = now + max(0.0, self._unsure_for - max(0.0, wall - entry.at))
+        for question in self.recovery.open.values():
+            desk.finding.setdefault(question.entry.key, [])
+
+    def commit(self, order: Commit, setup_key: str, epoch: str, wall: float) -> bytes:
+        """The record to make durable before a byte of the attempt goes out; `epoch`: of the host's run."""
+        setup = order.setup
+        entry = Entry(setup_key, Fate.BEGUN, wall, setup.key, setup.server, epoch, setup.rung, order.top)
+        return self.book.note(entry)
+
+    def written(self, desk: Desk, now: float, setup: SetUp, setup_key: str, trouble: str) -> list[Order]:
+        """It is durable, or `trouble` says why it can't be: then nothing of it counts."""
+        self.trouble = trouble
+        if trouble:
+            self.book.entries.pop(setup_key, None)
+        return desk.committed(now, setup.session, setup.attempt, trouble)
+
+    def told(self, desk: Desk, now: float, wall: float, entry: Entry, word: Word) -> Done:
+        """A host's word on what was open at the start."""
+        settled = self.recovery.told(entry.setup, word, now)
+        if settled is None:
+            return Done(again=entry.setup in self.recovery.open)
+        verdict = settled[1]
+        record = self.book.changed(entry.setup, verdict.fate, wall)
+        release = not verdict.adopt and (verdict.release or verdict.fate is Fate.UNSURE)
+        return self._found(desk, now, entry, verdict, record, release)
+
+    def told_of_address(self, desk: Desk, now: float, wall: float, entry: Entry, word: Word) -> Done:
+        """A host's word on a session whose viewer came with its signed address."""
+        verdict, record = resumed(word), None
+        if verdict.adopt and desk.settings.classes[entry.key[1]].effect is not api.Effect.SAFE:
+            record = self.book.note(msgspec.structs.replace(entry, at=wall))
+        return self._found(desk, now, entry, verdict, record, False)
+
+    @staticmethod
+    def _found(
+        desk: Desk, now: float, entry: Entry, verdict: Settled, record: bytes | None, release: bool
+    ) -> Done:
+        take_over = desk.next_session if verdict.adopt else None
+        return Done(record, False, take_over, release, desk.found(now, entry, verdict, 0))
--- a/otterglade/gateway/journal.py
+++ b/otterglade/gateway/journal.py
@@ -6,12 +6,10 @@
 from collections.abc import Callable
 from pathlib import Path
 
-import msgspec
-
-from ..core import interface as api
 from ..core import messages as d
-from ..core.attempts import Book, Entry, EntryError, Fate, Recovery, Word, resumed
+from ..core.attempts import Book, Entry, EntryError, Fate, Recovery, Word
 from ..core.desk import Desk
+from ..core.keeper import Done, Keeper
 from ..net.threads import Failure
 from ..obs.logs import Log as Logger
 from ..store.disk import Disk
@@ -34,27 +32,34 @@
     ) -> None:  # fmt: skip
         self._folder, self._loop, self._hosts = folder, loop, hosts
         self._logger, self._on_failure, self._disk = log, on_failure, disk
-        self._unsure_for = unsure_for
         self._log: Log | None = None
-        self.book = Book(unsure_for)
-        self.recovery = Recovery((), 0.0, 0.0)
-        self.trouble = ""
+        self.keeper = Keeper(unsure_for, FIND_OUT)
+
+    @property
+    def book(self) -> Book:
+        return self.keeper.book
+
+    @property
+    def recovery(self) -> Recovery:
+        return self.keeper.recovery
+
+    @property
+    def trouble(self) -> str:
         """Why nothing can be written; empty: it can."""
+        return self.keeper.trouble
 
     def open(self) -> None:
         """Read the log. What can't be read stops paid sessions, not the gateway: an operator has to look."""
         try:
             self._folder.mkdir(parents=True, exist_ok=True)
             self._log, found = Log.open(self._folder, self._on_failure, disk=self._disk)
-            self.book.restore((*found.snapshot, *found.records))
+            self.keeper.restore((*found.snapshot, *found.records), time.monotonic(), time.time())
         except (OSError, DamagedError, EntryError) as error:
-            self.trouble = f"the attempts' log can't be used: {error}"
+            self.keeper.trouble = f"the attempts' log can't be used: {error}"
             self._logger.error("store_unusable", cause=str(error))
             return
         if found.torn:
             self._logger.warning("store_torn_tail", cause=found.torn)
-        self.book.prune(time.time())
-        self.recovery = Recovery(self.book.of_fate(Fate.BEGUN, Fate.RAN), time.monotonic(), FIND_OUT)
         self._logger.info(
             "store_open", records=len(found.records), snapshot=len(found.snapshot),
             open=len(self.recovery.open), unsure=len(self.book.of_fate(Fate.UNSURE)),
@@ -62,12 +67,7 @@
 
     def prepare(self, desk: Desk, now: float) -> list[d.Order]:
         """Tell the desk what is unsure and what is being found out, before anybody asks."""
-        desk.paid_refused = self.trouble
-        wall = time.time()
-        for entry in self.book.of_fate(Fate.UNSURE):
-            desk.unsure[entry.key] = now + max(0.0, self._unsure_for - max(0.0, wall - entry.at))
-        for question in self.recovery.open.values():
-            desk.finding.setdefault(question.entry.key, [])
+        self.keeper.prepare(desk, now, time.time())
         return []
 
     def find_out(self) -> None:
@@ -84,18 +84,10 @@
             time.sleep(ASK_AGAIN)
 
         def tell(desk: Desk, now: float) -> list[d.Order]:
-            settled = self.recovery.told(entry.setup, word, now)
-            if settled is None:
-                if entry.setup in self.recovery.open:
-                    self._ask(entry)
-                return []
-            _, verdict = settled
-            self._write(self.book.changed(entry.setup, verdict.fate, time.time()))
-            if verdict.adopt:
-                self._hosts.take_over(desk.next_session, entry.setup)
-            elif verdict.release or verdict.fate is Fate.UNSURE:
-                self._hosts.release_key(entry.server, entry.setup)
-            return desk.found(now, entry, verdict, 0)
+            done = self.keeper.told(desk, now, time.time(), entry, word)
+            if done.again:
+                self._ask(entry)
+            return self._carried(entry, done)
 
         self._loop().put(tell)
 
@@ -104,45 +96,42 @@
         entry = order.entry
 
         def told(word: Word) -> None:
-            def tell(desk: Desk, now: float) -> list[d.Order]:
-                verdict = resumed(word)
-                if verdict.adopt:
-                    self._hosts.take_over(desk.next_session, entry.setup)
-                    if desk.settings.classes[entry.key[1]].effect is not api.Effect.SAFE:
-                        self._write(self.book.note(msgspec.structs.replace(entry, at=time.time())))
-                return desk.found(now, entry, verdict, 0)
-
-            self._loop().put(tell)
+            self._loop().put(
+                lambda desk, now: self._carried(
+                    entry, self.keeper.told_of_address(desk, now, time.time(), entry, word)
+                )
+            )
 
         self._hosts.ask_fate(entry, told)
 
+    def _carried(self, entry: Entry, done: Done) -> list[d.Order]:
+        self._write(done.record)
+        if done.take_over is not None:
+            self._hosts.take_over(done.take_over, entry.setup)
+        if done.release:
+            self._hosts.release_key(entry.server, entry.setup)
+        return done.orders
+
     def commit(self, order: d.Commit) -> None:
         """Write an attempt down; the desk is told when it is durable, or why it can't be."""
         setup = order.setup
-        entry = Entry(
-            self._hosts.setup_key(setup.session, setup.attempt), Fate.BEGUN, time.time(), setup.key,
-            setup.server, self._hosts.epochs.get(setup.server, ""), setup.rung, order.top,
-        )  # fmt: skip
-        record = self.book.note(entry)
+        key = self._hosts.setup_key(setup.session, setup.attempt)
+        record = self.keeper.commit(order, key, self._hosts.epochs.get(setup.server, ""), time.time())
 
         def done(error: OSError | None) -> None:
             trouble = "" if error is None else f"paid sessions can't be recorded: {error}"
-
-            def tell(desk: Desk, now: float) -> list[d.Order]:
-                self._trouble(trouble)
-                if trouble:
-                    self.book.entries.pop(entry.setup, None)
-                return desk.committed(now, setup.session, setup.attempt, trouble)
-
-            self._loop().put(tell)
+            self._loop().put(lambda desk, now: self._written(desk, now, setup, key, trouble))
 
         if self._log is None:
-            self.book.entries.pop(entry.setup, None)
             trouble = self.trouble
-            self._loop().put(lambda desk, now: desk.committed(now, setup.session, setup.attempt, trouble))
+            self._loop().put(lambda desk, now: self._written(desk, now, setup, key, trouble))
         else:
             self._log.append(record, done)
 
+    def _written(self, desk: Desk, now: float, setup: d.SetUp, key: str, trouble: str) -> list[d.Order]:
+        self._say_trouble(trouble)
+        return self.keeper.written(desk, now, setup, key, trouble)
+
     def fated(self, order: d.Fated) -> None:
         """Write what became of an attempt. Nobody waits for it: without it a start finds out by asking."""
         self._write(
@@ -167,19 +156,19 @@
             if error is None:
 
                 def tell(desk: Desk, now: float) -> list[d.Order]:
-                    self._trouble("")
-                    return desk.committed(now, 0, 0, "")
+                    self._say_trouble("")
+                    self.keeper.trouble = desk.paid_refused = ""
+                    return []
 
                 self._loop().put(tell)
 
         self._log.compact(self.book.snapshot(time.time()), done)
 
-    def _trouble(self, trouble: str) -> None:
+    def _say_trouble(self, trouble: str) -> None:
         if trouble and not self.trouble:
             self._logger.error("store_in_trouble", cause=trouble)
         elif self.trouble and not trouble:
             self._logger.info("store_back")
-        self.trouble = trouble
 
     def close(self) -> None:
         if self._log is not None:
