Explorer; its first findings: a late release, and a taken-over session nobody saw

Need: attempts are to be checked in every interleaving of a small world made of the real core. Change: explore/ has times that know they are times, a world around desk, module, keeper and tokens, its acts, the properties, and a breadth-first search over worker processes. Finding 1: a set-up's connection breaks, the gateway is killed and takes the running session over, then its first run's release arrives and ends it: the gateway holds what its host does not. A release now names the run. Finding 2: a session taken over after a kill, whose viewer never saw it, ends with its host; its viewer was charged again. RAN is now written when the viewer is told, and what ends unseen is unsure. Finding 3, read on the way: where seats kept a session from being taken over, the next session went by its key.

--- a/otterglade/core/desk.py
+++ b/otterglade/core/desk.py
@@ -61,7 +61,7 @@
         self._prune(now)
         current = self.by_key.get(ask.key)
         if current is not None and current.phase is Phase.PLAYING:
-            self._reply(ask.waiter, Plays(current.view()))
+            self._tell_plays(current, ask.waiter)
         elif current is not None:
             self._attach(current, ask.waiter)
         elif now < self.unsure.get(ask.key, -math.inf):
@@ -165,39 +165,43 @@
         self._say(
             "info", "attempt_found_out", setup=entry.setup, fate=verdict.fate.value, waiting=len(waiting)
         )
-        if verdict.fate is Fate.UNSURE:
-            self.unsure[entry.key] = now + self.terms.unsure_for
-        elif verdict.adopt:
-            self._adopt(entry, setup_at)
+        paid = self.settings.classes[entry.key[1]].effect is not api.Effect.SAFE
+        unsure = verdict.fate is Fate.UNSURE
+        if verdict.adopt and not self._adopt(entry, setup_at):
+            unsure = paid and not verdict.resumed
+        if unsure:
+            self._is_unsure(entry.key)
         for deadline, ask in waiting:
             current = self.by_key.get(ask.key)
-            if verdict.fate is Fate.UNSURE:
+            if unsure:
                 self._reply(ask.waiter, Failed("an earlier set-up of this session may have run"))
             elif current is not None and current.phase is Phase.PLAYING:
-                self._reply(ask.waiter, Plays(current.view()))
+                self._tell_plays(current, ask.waiter)
             elif current is not None:
                 self._attach(current, ask.waiter)
-            elif verdict.resumed and self.settings.classes[ask.key[1]].effect is not api.Effect.SAFE:
+            elif verdict.resumed and paid:
                 # It came by a segment: nobody asked for a set-up that is paid for.
                 self._reply(ask.waiter, Failed("the session has ended"))
             else:
                 self._take(ask, max(0.0, deadline - now), None)
         return self._done()
 
-    def _adopt(self, entry: Entry, attempt: int) -> None:
-        """A session that plays at its host since before the kill is taken over, as one handed over."""
+    def _adopt(self, entry: Entry, attempt: int) -> bool:
+        """A session that plays at its host since before the kill is taken over, as one handed over; whether
+        it could be."""
         place = self.catalogue.get(entry.key[2])
         terms = self.settings.classes[entry.key[1]]
         alike = [x for x in self.held.values() if x.key[1:] == entry.key[1:]]
         full = bool(terms.seats) and len(alike) >= terms.seats
         if place is None or entry.server not in self.entries or entry.key in self.by_key or full:
             self._say("warning", "not_adopted", setup=entry.setup, server=entry.server, seats_taken=full)
-            return
+            return False
         paid = terms.effect is not api.Effect.SAFE
         held = Held(self._next, entry.key, paid, math.inf, entry.top, Phase.PLAYING, server=entry.server,
                     rung=entry.rung, told=entry.rung)  # fmt: skip
         self._next += 1
         held.attempts, held.committed = attempt + 1, attempt if paid else None
+        held.seen = entry.fate is Fate.RAN
         self.held[held.number] = self.by_key[held.key] = held
         self.at.setdefault(held.server, {})[held.number] = held
         request = api.SessionRequest(
@@ -206,6 +210,7 @@
         self._feed(api.SessionHandedOver(request, entry.server))
         self._feed(api.RungNote(held.number, entry.rung))
         self._out.append(Publish(held.view()))
+        return True
 
     def session_ended(self, now: float, session: int, attempt: int, cause: str) -> list[Order]:
         """The host's word that a session is over."""
--- a/otterglade/core/held.py
+++ b/otterglade/core/held.py
@@ -32,6 +32,8 @@
     """It has gone out; else it is being written down."""
     committed: int | None = None
     """The last attempt that is written down."""
+    seen: bool = False
+    """Its viewer has been told that it plays: until then its end leaves him charged for nothing."""
     sent_at: float = 0.0
     until: float = 0.0
     server: int = -1
--- a/otterglade/core/keeper.py
+++ b/otterglade/core/keeper.py
@@ -15,6 +15,7 @@
 from . import interface as api
 from .attempts import Book, Entry, Fate, Recovery, Settled, Word, resumed
 from .desk import Desk
+from .held import Phase
 from .messages import Commit, Order, SetUp
 
 
@@ -28,17 +29,18 @@
     """It settled nothing: ask once more."""
     take_over: int | None = None
     """The session that goes by the set-up's key from now on."""
-    release: bool = False
-    """Have the host end what it may have of it."""
+    release_as: str = ""
+    """Have the host end what it may have of it, on behalf of this run; empty: no."""
     orders: list[Order] = field(default_factory=list)
 
 
 class Keeper:
     """One for a run of a gateway; belongs to the decision loop."""
 
-    def __init__(self, unsure_for: float, find_out: float) -> None:
-        """Seconds for which what may have run keeps its viewer from another set-up, and for which hosts are
-        asked about what was open at the start."""
+    def __init__(self, run: str, unsure_for: float, find_out: float) -> None:
+        """`run`: NAME.EPOCH, as hosts know it. Seconds for which what may have run keeps its viewer from
+        another set-up, and for which hosts are asked about what was open at the start."""
+        self.run = run
         self._unsure_for, self._find_out = unsure_for, find_out
         self.book = Book(unsure_for)
         self.recovery = Recovery((), 0.0, 0.0)
@@ -78,20 +80,31 @@
         if settled is None:
             return Done(again=entry.setup in self.recovery.open)
         verdict = settled[1]
-        record = self.book.changed(entry.setup, verdict.fate, wall)
-        release = not verdict.adopt and (verdict.release or verdict.fate is Fate.UNSURE)
-        return self._found(desk, now, entry, verdict, record, release)
+        theirs = not verdict.adopt and (verdict.release or verdict.fate is Fate.UNSURE)
+        return self._found(desk, now, wall, entry, verdict, entry.setup.rsplit(".", 2)[0] if theirs else "")
 
     def told_of_address(self, desk: Desk, now: float, wall: float, entry: Entry, word: Word) -> Done:
         """A host's word on a session whose viewer came with its signed address."""
-        verdict, record = resumed(word), None
-        if verdict.adopt and desk.settings.classes[entry.key[1]].effect is not api.Effect.SAFE:
-            record = self.book.note(msgspec.structs.replace(entry, at=wall))
-        return self._found(desk, now, entry, verdict, record, False)
+        return self._found(desk, now, wall, entry, resumed(word), "")
 
-    @staticmethod
     def _found(
-        desk: Desk, now: float, entry: Entry, verdict: Settled, record: bytes | None, release: bool
+        self, desk: Desk, now: float, wall: float, entry: Entry, verdict: Settled, release_as: str
     ) -> Done:
-        take_over = desk.next_session if verdict.adopt else None
-        return Done(record, False, take_over, release, desk.found(now, entry, verdict, 0))
+        """Tell the desk, and write what has become of it.
+
+        What is taken over stays as it was written: RAN says that its viewer was told, and the desk orders
+        that once he is. What can't be taken over, though the host has made it this run's, is given back.
+        """
+        number = desk.next_session
+        orders = desk.found(now, entry, verdict, 0)
+        held = desk.held.get(number)
+        adopted = verdict.adopt and held is not None and held.phase is Phase.PLAYING
+        paid = desk.settings.classes[entry.key[1]].effect is not api.Effect.SAFE
+        record: bytes | None = None
+        if adopted and paid:
+            record = self.book.note(msgspec.structs.replace(entry, at=wall))
+        elif not adopted:
+            missed = verdict.adopt and not verdict.resumed
+            record = self.book.changed(entry.setup, Fate.UNSURE if missed else verdict.fate, wall)
+            release_as = self.run if verdict.adopt else release_as
+        return Done(record, False, number if adopted else None, release_as, orders)
--- a/otterglade/core/sessions.py
+++ b/otterglade/core/sessions.py
@@ -230,6 +230,14 @@
     def _reply(self, waiter: int, verdict: Verdict) -> None:
         self._out.append(Reply(waiter, verdict))
 
+    def _tell_plays(self, held: Held, waiter: int) -> None:
+        """A viewer is told that his session plays; the first time it is written down before he is."""
+        if not held.seen:
+            held.seen = True
+            if held.committed is not None:
+                self._out.append(Fated(held.number, held.committed, Fate.RAN))
+        self._reply(waiter, Plays(held.view()))
+
     def _answer(self, held: Held, verdict: Verdict) -> None:
         for waiter in held.waiters:
             del self.waiting[waiter]
@@ -240,7 +248,7 @@
         attempt, took = held.out, self.now - held.sent_at
         assert attempt is not None, "an attempt that ended was out"
         held.out = None
-        if held.committed == attempt:
+        if held.committed == attempt and outcome is not api.Outcome.DONE:
             self._out.append(Fated(held.number, attempt, fate_of(outcome)))
         if outcome is api.Outcome.DONE:
             self._plays(held, attempt, took, load)
@@ -280,7 +288,10 @@
         if entry is not None and entry.state is api.State.DRAINING and not held.paid:
             held.moving = True  # the list changed while the set-up was out
         self._out.append(Publish(held.view()))
-        self._answer(held, Plays(held.view()))
+        for waiter in held.waiters:
+            del self.waiting[waiter]
+            self._tell_plays(held, waiter)
+        held.waiters = []
 
     def _moved(self, old: Held) -> None:
         """The session plays elsewhere now: its first place is given back."""
@@ -334,9 +345,9 @@
     def _end(self, held: Held) -> None:
         """Take a session off the books; what may have run unseen is remembered."""
         was_playing = held.phase is Phase.PLAYING
-        if held.paid and held.may_have_run and not was_playing:
-            self.unsure[held.key] = self.now + self.terms.unsure_for
-            self.unsure.move_to_end(held.key)
+        unseen = was_playing and not held.seen
+        if held.paid and (unseen or (held.may_have_run and not was_playing)):
+            self._is_unsure(held.key)
         self._forget(held)
         new = held.replacement
         if new is not None:  # the move goes on as an ordinary set-up
@@ -345,7 +356,12 @@
         elif was_playing:
             self._out.append(Withdraw(held.key, held.number, not held.paid))
         if was_playing and held.committed is not None:
-            self._out.append(Fated(held.number, held.committed, Fate.OVER))
+            self._out.append(Fated(held.number, held.committed, Fate.UNSURE if unseen else Fate.OVER))
+
+    def _is_unsure(self, key: Key) -> None:
+        """A set-up of this session may have run without its viewer's seeing it: he is not charged again."""
+        self.unsure[key] = self.now + self.terms.unsure_for
+        self.unsure.move_to_end(key)
 
     def _forget(self, held: Held) -> None:
         held.phase = Phase.ENDED
--- /dev/null
+++ b/otterglade/explore/world.py
@@ -0,0 +1,455 @@
+"""A small world around the real core: gateways, disks, hosts, network, viewers, one clock.
+
+What a gateway decides is decided by `core` (desk, module, keeper, book, recovery, tokens), fed through its
+own entrances and carried out order by order. What is modelled is only what surrounds it, and each act of it
+is one step that the search may take in any order: `acts.py` says which can happen, this file what they do.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from ..core import carryover
+from ..core import interface as api
+from ..core import messages as m
+from ..core.attempts import Entry, Fate, Word, heard
+from ..core.desk import Desk
+from ..core.keeper import Done, Keeper
+from ..core.policy import Controller
+from ..core.tokens import Claim, Tokens
+from .times import BASE, Time, share
+
+PAID = api.SessionClass(
+    goal=1.0, worth=2.0, effect=api.Effect.UNSAFE, scale=1.0, floor=1, top=2, seats=1, live=False,
+    group=api.Group.ALL, dedup_window=0.0,
+)  # fmt: skip
+PATIENCE, MARGIN, FIND_OUT, UNSURE_FOR = 3.0, 0.5, 2.0, 600.0
+WALL = 1.7e9
+"""Unix time, which stands still: nothing within a story is old enough to be forgotten."""
+TITLE = "a"
+TOKENS = Tokens({"k": b"k" * 16}, "k")
+
+
+@dataclass(frozen=True, slots=True)
+class Scope:
+    """How large a world is, and how often each thing that nobody wants may happen in a story."""
+
+    hosts: int = 2
+    gateways: int = 1
+    viewers: int = 1
+    asks: int = 2
+    """Times that each viewer asks."""
+    attempts: int = 2
+    kills: int = 0
+    forgets: int = 0
+    """Hosts that start anew and forget."""
+    busy: int = 1
+    refused: int = 0
+    cuts: int = 1
+    """Connections that break, before or after the host acted."""
+    silent: int = 0
+    """Questions about a set-up that get no answer."""
+    lost: int = 0
+    """Releases that never arrive."""
+    leaves: int = 0
+    segments: int = 0
+    """Segments asked for at a gateway that does not know the session."""
+    full: int = 0
+    """Writes to a disk that fail."""
+
+    def settings(self) -> api.Settings:
+        return api.Settings(
+            gateways=self.gateways, zone=0, classes=(PAID,), tenants=(), over_share_worth=1.0,
+            ladder=(1.0, 2.0, 3.0), ladder_worth=(0.3, 0.7, 1.0), cells=self.hosts, racks=1, rack_link=0.0,
+            link_per_weight=1e6, streams=(100,), refuses_from=0.0, shared_adds=1.0, note_delay=0.4,
+            note_interval=0.0, stall=7.0, switch_cost=0.5, reported=(), reports_by_probe=False, probes=False,
+            probe_price=0.0, move_price=0.2, zone_price=0.0, max_attempts=self.attempts, max_retry_after=1.0,
+            connect_timeout=0.1, cold=0.0, start_capacity=1.0, overload_factor=3.0, fall=2.0,
+            budget_window=5.0, budget_free=1.0, budget_share=0.5, ask_discovery=False, ask_within=0.0,
+        )  # fmt: skip
+
+
+RARE = ("kills", "forgets", "busy", "refused", "cuts", "silent", "lost", "leaves", "segments", "full")
+"""The fields of a scope that bound what nobody wants."""
+
+
+class Even:
+    """In place of the module's draws: the same each time, so that of holders that are alike the first is
+    taken. Which of them it is makes no difference to a world in which they are alike."""
+
+    __slots__ = ()
+
+    def random(self) -> float:
+        return 0.5
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """A set-up's exchange, or a question about one (`entry`), between a run of a gateway and a host."""
+
+    gate: int
+    run: int
+    server: int
+    setup: str
+    viewer: int
+    session: int = 0
+    attempt: int = 0
+    requests: tuple[int, ...] = ()
+    entry: Entry | None = None
+    of_address: bool = False
+    state: str = "sent"
+    """sent, answered, broken (its host is gone), closed (nobody waits for it; it may still arrive)."""
+    answer: Any = None
+
+
+@dataclass(slots=True, eq=False)
+class Host:
+    """What a host keeps, by the host protocol."""
+
+    epoch: int = 1
+    plays: dict[str, str] = field(default_factory=dict)
+    """Set-ups that run, and which gateway's they are."""
+    ended: set[str] = field(default_factory=set)
+    refuses: set[str] = field(default_factory=set)
+    """Keys under which nothing may run any more."""
+
+
+@dataclass(slots=True, eq=False)
+class Viewer:
+    """A viewer, who wants one session."""
+
+    name: str
+    asks: int
+    state: str = "away"
+    gate: int = -1
+    run: int = -1
+    request: int = 0
+    patience: float = 0.0
+    token: str = ""
+    plays: str = ""
+    """The set-up that he watches."""
+
+
+@dataclass(slots=True, eq=False)
+class Charge:
+    """A set-up that ran: what the viewer pays for."""
+
+    viewer: int
+    server: int
+    setup: str
+    played: bool = False
+    over: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Gate:
+    """A gateway's process and its disk."""
+
+    number: int
+    run: int = 0
+    up: bool = False
+    desk: Desk | None = None
+    keeper: Keeper | None = None
+    alarms: list[m.Alarm] = field(default_factory=list)
+    epochs: dict[int, int] = field(default_factory=dict)
+    """Of the hosts' runs that it knows of."""
+    names: dict[int, str] = field(default_factory=dict)
+    """Sessions that go by another run's set-up key."""
+    waiters: dict[int, int] = field(default_factory=dict)
+    """Who waits: the viewer, by the request's number."""
+    queue: list[tuple[bytes, m.SetUp | None, str]] = field(default_factory=list)
+    """Handed to the log, not written yet: a kill loses it, whole or in part, which the log tells apart."""
+    synced: list[tuple[m.SetUp, str]] = field(default_factory=list)
+    """Written, and the desk not told yet."""
+    disk: list[bytes] = field(default_factory=list)
+    spends: list[int] = field(default_factory=list)
+    taken: list[float] = field(default_factory=list)
+    further: list[float] = field(default_factory=list)
+
+    @property
+    def name(self) -> str:
+        """Of its run."""
+        return f"g{self.number}.r{self.run}"
+
+    def key_of(self, session: int, attempt: int) -> str:
+        return self.names.get(session) or f"{self.name}.{session}.{attempt}"
+
+    def alive(self) -> tuple[Desk, Keeper]:
+        assert self.desk is not None and self.keeper is not None, "it is up"
+        return self.desk, self.keeper
+
+
+class BrokenError(Exception):
+    """A property does not hold: its name, and what happened."""
+
+    def __init__(self, name: str, what: str) -> None:
+        super().__init__(f"{name}: {what}")
+        self.name, self.what = name, what
+
+
+class World:
+    """The state of everything; `do` of `acts.py` changes it."""
+
+    def __init__(self, scope: Scope) -> None:
+        self.scope = scope
+        self.settings = share(scope.settings())
+        self.terms = share(m.Terms((PATIENCE,), MARGIN, 10, UNSURE_FOR, durable=True))
+        self.now: float = Time(BASE)
+        self.hosts = [Host() for _ in range(scope.hosts)]
+        self.gates = [Gate(n) for n in range(scope.gateways)]
+        self.viewers = [Viewer(f"v{n}", scope.asks) for n in range(scope.viewers)]
+        self.calls: list[Call] = []
+        self.releases: list[tuple[str, int, str]] = []
+        """Under way: set-up's key, host, the run on whose behalf."""
+        self.events: list[tuple[int, int, str]] = []
+        """Under way to a run of a gateway: the session by this key has ended, or is another's now."""
+        self.charges: list[Charge] = []
+        self.left = {x: getattr(scope, x) for x in RARE}
+        self.requests = 0
+        self.answers: dict[int, str] = {}
+        for gate in self.gates:
+            self.start(gate)
+
+    # Gateways
+
+    def start(self, gate: Gate) -> None:
+        """A new run of a gateway: reads its log, is told the list, asks about what was open."""
+        gate.run, gate.up = gate.run + 1, True
+        controller = Controller(self.settings, 1)
+        controller.random = Even()  # type: ignore[assignment]
+        desk = gate.desk = Desk(self.settings, controller, self.terms, {TITLE: m.Place(0, self.scope.hosts)})
+        keeper = gate.keeper = Keeper(gate.name, UNSURE_FOR, FIND_OUT)
+        keeper.restore(gate.disk, self.now, WALL)
+        self.carry(gate, desk.start(self.now))
+        keeper.prepare(desk, self.now, WALL)
+        spends = [(n + 1, WALL) for n, _ in enumerate(gate.spends)]
+        carryover.restore_budget(desk, controller, None, spends, self.now, WALL)
+        gate.epochs = {n: x.epoch for n, x in enumerate(self.hosts)}
+        entries = tuple(
+            api.ServerEntry(n, 0, 0, n, api.State.READY, 1.0, 0.0) for n in range(len(self.hosts))
+        )
+        self.carry(gate, desk.servers(self.now, api.ServerList(entries, complete=True)))
+        for entry in keeper.recovery.ask():
+            self.question(gate, entry, of_address=False)
+
+    def kill(self, gate: Gate) -> None:
+        """At any instant: what its process held is gone, its disk has what was written."""
+        gate.up, gate.desk, gate.keeper = False, None, None
+        gate.alarms, gate.queue, gate.synced, gate.names = [], [], [], {}
+        gate.waiters = {}
+        for call in self.calls:
+            if call.gate == gate.number and call.run == gate.run:
+                call.state = "answered and lost" if call.state in ("answered", "broken") else "closed"
+        self.calls = [x for x in self.calls if x.state != "answered and lost" and not (
+            x.entry is not None and x.state == "closed")]  # fmt: skip
+        self.events = [x for x in self.events if x[0] != gate.number]
+        for viewer in self.viewers:
+            if viewer.state == "waiting" and viewer.gate == gate.number:
+                viewer.state = "away"  # his connection breaks
+
+    def question(self, gate: Gate, entry: Entry, of_address: bool) -> None:
+        viewer = next(n for n, x in enumerate(self.viewers) if x.name == entry.key[0])
+        self.calls.append(
+            Call(gate.number, gate.run, entry.server, entry.setup, viewer, entry=entry, of_address=of_address)
+        )
+
+    def carry(self, gate: Gate, orders: list[m.Order]) -> None:
+        """Carry out what the desk orders, in order, as the daemon does."""
+        _, keeper = gate.alive()
+        for order in orders:
+            match order:
+                case m.Reply(waiter, verdict):
+                    self._reply(gate, waiter, verdict)
+                case m.SetUp():
+                    self._send(gate, order)
+                case m.Commit():
+                    setup = order.setup
+                    key = gate.key_of(setup.session, setup.attempt)
+                    record = keeper.commit(order, key, str(gate.epochs[setup.server]), WALL)
+                    gate.queue.append((record, setup, key))
+                case m.Fated(session, attempt, fate):
+                    record_or_none = keeper.book.changed(gate.key_of(session, attempt), fate, WALL)
+                    if record_or_none is not None:
+                        gate.queue.append((record_or_none, None, ""))
+                    if fate is Fate.OVER:
+                        gate.names.pop(session, None)
+                case m.AskFate(entry):
+                    self.question(gate, entry, of_address=True)
+                case m.Cut(session, attempt):
+                    for call in self.calls:
+                        if call.setup == gate.key_of(session, attempt) and call.entry is None:
+                            call.state = "closed" if call.state == "sent" else "gone"
+                    self.calls = [x for x in self.calls if x.state != "gone"]
+                case m.Release(session, attempt, server):
+                    self.releases.append((gate.key_of(session, attempt), server, gate.name))
+                case m.Spent(number):
+                    gate.spends.append(number)
+                    gate.further.append(self.now)
+                case m.Alarm(kind=kind, token=token):
+                    # The module's beat looks for climbs; nothing here has a rung to climb to.
+                    if kind is not m.AlarmKind.MODULE or token & 1:
+                        gate.alarms.append(order)
+                case _:
+                    pass  # publishing, rungs, notes: nothing that these worlds look at
+
+    def _send(self, gate: Gate, order: m.SetUp) -> None:
+        viewer = next(n for n, x in enumerate(self.viewers) if x.name == order.key[0])
+        key = gate.key_of(order.session, order.attempt)
+        if order.rung < PAID.floor:
+            raise BrokenError("floor", f"{key} at rung {order.rung}")
+        held = gate.alive()[0].held[order.session]
+        if any(x.viewer == viewer and x.gate == gate.number and x.run == gate.run and x.entry is None
+               and x.state != "closed" for x in self.calls):  # fmt: skip
+            raise BrokenError("two out", f"{key} beside another of the viewer")
+        self.calls.append(
+            Call(gate.number, gate.run, order.server, key, viewer, order.session, order.attempt,
+                 tuple(held.waiters))
+        )  # fmt: skip
+
+    def _reply(self, gate: Gate, request: int, verdict: m.Verdict) -> None:
+        if request in self.answers:
+            raise BrokenError("one answer", f"request {request} is answered again: {verdict}")
+        number = gate.waiters.pop(request, None)
+        if number is None:
+            raise BrokenError("one answer", f"an answer for nobody: request {request}, {verdict}")
+        viewer = self.viewers[number]
+        kind = type(verdict).__name__.lower()
+        self.answers[request] = kind
+        viewer.state = "away"
+        if isinstance(verdict, m.Plays):
+            viewer.state = "playing"
+            viewer.plays = gate.key_of(verdict.view.session, verdict.view.attempt)
+            view = verdict.view
+            viewer.token = TOKENS.sign(
+                Claim(
+                    viewer.name, "paid", TITLE, view.top, view.rung, view.server, viewer.plays, int(WALL) + 9
+                )
+            )
+            for charge in self.charges:
+                charge.played = charge.played or charge.setup == viewer.plays
+        elif isinstance(verdict, m.Refused):
+            for charge in self.charges:
+                mine = charge.setup.startswith(f"g{gate.number}.")
+                if charge.viewer == number and mine and not charge.over:
+                    raise BrokenError("refused though it ran", f"request {request}, {charge.setup}")
+
+    # Hosts
+
+    def arrive(self, call: Call, busy: bool) -> None:
+        """A set-up reaches its host."""
+        host = self.hosts[call.server]
+        if call.setup in host.plays:
+            call.answer = api.Outcome.DONE
+        elif busy or call.setup in host.refuses or call.setup in host.ended:
+            host.refuses.add(call.setup)
+            call.answer = api.Outcome.BUSY
+        else:
+            self._charge(call)
+            host.plays[call.setup] = call.setup.rsplit(".", 2)[0]
+            call.answer = api.Outcome.DONE
+        if call.state == "closed":
+            self.calls.remove(call)
+        else:
+            call.state = "answered"
+
+    def _charge(self, call: Call) -> None:
+        for one in self.charges:
+            if one.viewer == call.viewer and not (one.played and one.over):
+                raise BrokenError("charged twice", f"{one.setup} at host {one.server}, then {call.setup}")
+        if any(self.answers.get(x) == "refused" for x in call.requests):
+            raise BrokenError("refused though it ran", f"{call.setup} ran after its viewer was refused")
+        self.charges.append(Charge(call.viewer, call.server, call.setup))
+
+    def release(self, setup: str, server: int, run: str) -> None:
+        """A release reaches its host; it counts from the run that has the session alone."""
+        host = self.hosts[server]
+        owner = host.plays.get(setup)
+        if owner is None and setup not in host.ended:
+            host.refuses.add(setup)
+        elif owner == run:
+            del host.plays[setup]
+            host.ended.add(setup)
+            self.over(setup)
+
+    def over(self, setup: str) -> None:
+        for charge in self.charges:
+            charge.over = charge.over or charge.setup == setup
+        for viewer in self.viewers:
+            if viewer.state == "playing" and viewer.plays == setup:
+                viewer.state = "broken"
+
+    def asked(self, call: Call) -> None:
+        """A question reaches its host: what is not known there never runs any more."""
+        host, gate = self.hosts[call.server], f"g{call.gate}.r{call.run}"
+        if call.setup in host.plays:
+            owner = host.plays[call.setup]
+            host.plays[call.setup] = gate
+            call.answer = (200, False, str(host.epoch), owner)
+        elif call.setup in host.ended:
+            call.answer = (410, False, str(host.epoch), "")
+        else:
+            host.refuses.add(call.setup)
+            call.answer = (404, True, str(host.epoch), "")
+        call.state = "answered"
+
+    def forget(self, server: int) -> None:
+        """A host starts anew: its sessions end, its memory is gone, its connections break."""
+        host = self.hosts[server]
+        playing = list(host.plays)
+        self.hosts[server] = Host(host.epoch + 1)
+        for setup in playing:
+            self.over(setup)
+        for call in self.calls:
+            if call.server == server:
+                call.state = "gone" if call.state == "closed" else "broken"
+        self.calls = [x for x in self.calls if x.state != "gone"]
+
+    # What comes back to a gateway
+
+    def outcome(self, call: Call, outcome: api.Outcome) -> None:
+        """A set-up's exchange has ended at the gateway that waits for it."""
+        gate = self.gates[call.gate]
+        desk, _ = gate.alive()
+        self.carry(gate, desk.attempt_ended(self.now, call.session, call.attempt, call.server, outcome))
+
+    def word(self, call: Call, word: Word | None) -> None:
+        """A question's answer, or that there is none, reaches the gateway that asked."""
+        gate = self.gates[call.gate]
+        desk, keeper = gate.alive()
+        entry = call.entry
+        assert entry is not None, "a question is about an entry"
+        self.calls.remove(call)
+        owner = ""
+        if word is None:
+            status, never, epoch, owner = call.answer
+            word = heard(entry, status, never, epoch)
+        tell = keeper.told_of_address if call.of_address else keeper.told
+        done: Done = tell(desk, self.now, WALL, entry, word)
+        if done.record is not None:
+            gate.queue.append((done.record, None, ""))
+        if done.take_over is not None:
+            gate.names[done.take_over] = entry.setup
+        if done.release_as:
+            self.releases.append((entry.setup, entry.server, done.release_as))
+        if done.again:
+            self.question(gate, entry, of_address=False)
+        self.carry(gate, done.orders)
+        other = self.gates[int(owner[1:].partition(".")[0])] if owner else gate
+        if other is not gate and other.up and done.take_over is not None:
+            self.events.append((other.number, other.run, entry.setup))
+
+    def told_ended(self, gate: Gate, setup: str) -> None:
+        """The host's event to a gateway: the session is over, or another's now."""
+        desk, _ = gate.alive()
+        for held in list(desk.held.values()):
+            attempt = max(0, held.attempts - 1)
+            if gate.key_of(held.number, attempt) == setup:
+                self.carry(gate, desk.session_ended(self.now, held.number, attempt, "ended"))
+
+    def claim_of(self, viewer: Viewer) -> tuple[m.Ask, Entry]:
+        """What a playing viewer's address says, checked as the front does."""
+        claim = TOKENS.check(viewer.token, WALL)
+        key = (claim.viewer, 0, claim.title)
+        entry = Entry(claim.setup, Fate.RAN, WALL, key, claim.server, "", claim.rung, claim.top)
+        return m.Ask(viewer.request, key, claim.top), entry
--- a/otterglade/gateway/hosts.py
+++ b/otterglade/gateway/hosts.py
@@ -78,6 +78,7 @@
     ) -> None:  # fmt: skip
         """`connect`: seconds for a connection; `silence`: seconds without an event before a host is lost."""
         self._gateway, self._epoch, self._classes = gateway, epoch, classes
+        self.run = f"{gateway}.{epoch}"
         self._loop, self._log, self._on_failure = loop, log, on_failure
         self._connect, self._silence = connect, silence
         self._setups = Workers("set-up", setups, on_failure)
@@ -98,7 +99,7 @@
         """
         if session in self._taken_over:
             return self._taken_over[session]
-        return f"{self._gateway}.{self._epoch}.{session}.{attempt}"
+        return f"{self.run}.{session}.{attempt}"
 
     def limit(self, *, connect: float, silence: float, setups: int) -> None:
         """Other limits from now on; connections and streams that are there keep theirs to their end."""
@@ -120,7 +121,7 @@
                 try:
                     answer = host.client.exchange(
                         b"GET", f"/sessions/{entry.setup}".encode(), deadline=time.monotonic() + 1.0,
-                        fields=[(b"Taken-By", self._gateway.encode())],
+                        fields=[(b"Taken-By", self.run.encode())],
                     )  # fmt: skip
                     epoch = (answer.get(b"host-epoch") or b"").decode("ascii", "replace")
                     word = heard(entry, answer.status, answer.get(NEVER_RAN) == b"no", epoch)
@@ -130,9 +131,9 @@
 
         self._setups.submit(ask)
 
-    def release_key(self, server: int, setup: str) -> None:
-        """End what an earlier run may have set up."""
-        self._chores.submit(lambda: self._release(server, setup))
+    def release_key(self, server: int, setup: str, run: str) -> None:
+        """End what an earlier run may have set up, on behalf of a run."""
+        self._chores.submit(lambda: self._release(server, setup, run))
 
     def update(self, listed: tuple[Listed, ...]) -> None:
         """Take over a list: from the loop, before the desk hears it."""
@@ -212,10 +213,14 @@
 
     def release(self, order: d.Release) -> None:
         key = self.setup_key(order.session, order.attempt)
-        self._chores.submit(lambda: self._release(order.server, key))
+        self._chores.submit(lambda: self._release(order.server, key, self.run))
 
-    def _release(self, server: int, key: str) -> None:
-        """Three tries: what is not released holds room at the host until it finds its viewer gone."""
+    def _release(self, server: int, key: str, run: str) -> None:
+        """Three tries: what is not released holds room at the host until it finds its viewer gone.
+
+        `run`: the gateway's run on whose behalf it is released. The host passes over it where another has
+        taken the session since: a release that an earlier run sent must not end what plays again.
+        """
         for wait in (0.1, 0.5, 0.0):
             host = self.hosts.get(server)
             if host is None:
@@ -223,7 +228,7 @@
             try:
                 host.client.exchange(
                     b"DELETE", f"/sessions/{key}".encode(), deadline=time.monotonic() + CHORE_LIMIT,
-                    fields=[(b"Gateway", self._gateway.encode())],
+                    fields=[(b"Gateway", run.encode())],
                 )  # fmt: skip
                 return
             except ExchangeError as error:
@@ -355,7 +360,7 @@
         for session, setup in list(self._taken_over.items()):
             if setup == key:
                 return session, 0
-        head, _, rest = key.rpartition(f"{self._gateway}.{self._epoch}.")
+        head, _, rest = key.rpartition(f"{self.run}.")
         number, _, attempt = rest.partition(".")
         return (int(number), int(attempt)) if not head and number.isdigit() and attempt.isdigit() else None
 
--- a/otterglade/gateway/journal.py
+++ b/otterglade/gateway/journal.py
@@ -33,7 +33,7 @@
         self._folder, self._loop, self._hosts = folder, loop, hosts
         self._logger, self._on_failure, self._disk = log, on_failure, disk
         self._log: Log | None = None
-        self.keeper = Keeper(unsure_for, FIND_OUT)
+        self.keeper = Keeper(hosts.run, unsure_for, FIND_OUT)
 
     @property
     def book(self) -> Book:
@@ -108,8 +108,8 @@
         self._write(done.record)
         if done.take_over is not None:
             self._hosts.take_over(done.take_over, entry.setup)
-        if done.release:
-            self._hosts.release_key(entry.server, entry.setup)
+        if done.release_as:
+            self._hosts.release_key(entry.server, entry.setup, done.release_as)
         return done.orders
 
     def commit(self, order: d.Commit) -> None:
--- a/otterglade/standins/host.py
+++ b/otterglade/standins/host.py
@@ -103,6 +103,9 @@
     setup: str
     body: SetupBody
     owner: str
+    """The gateway's name: who is told of it."""
+    run: str
+    """The gateway's run that has it, NAME.EPOCH: a release by another one is too late."""
     """The gateway in whose stream it is told."""
     rung: int
     order: int = 0
@@ -264,7 +267,7 @@
             if len(self._sessions) >= self.spec.slots or full or self._fault("refuse") is not None:
                 return self._refuse(exchange, setup, body, "full")
             owner = body.gateway
-            playing = Playing(setup, body, owner, body.rung, seen=time.monotonic())
+            playing = Playing(setup, body, owner, setup.rsplit(".", 2)[0], body.rung, seen=time.monotonic())
             self._sessions[setup] = playing
             self._ran.append(setup)
             self._feeds.setdefault(owner, Feed())
@@ -300,9 +303,11 @@
             taker = (exchange.request.get(b"taken-by") or b"").decode("ascii", "replace")
             if playing is not None:
                 status, fields = 200, [epoch]
-                if taker and taker != playing.owner:
-                    self._tell(playing.owner, "ended", {"setup": setup, "cause": "taken over"})
-                    playing.owner = taker
+                if taker and taker != playing.run:
+                    owner = taker.rpartition(".")[0]
+                    if owner != playing.owner:
+                        self._tell(playing.owner, "ended", {"setup": setup, "cause": "taken over"})
+                    playing.owner, playing.run = owner, taker
                     playing.seen = time.monotonic()
             elif setup in self._ran:
                 status, fields = 410, [epoch]
@@ -313,11 +318,11 @@
         return exchange.reply(status, fields)
 
     def _release(self, exchange: Exchange, setup: str) -> bytes:
-        """End a session, unless another gateway has taken it over since."""
+        """End a session, unless another gateway, or a later run of this one, has taken it over since."""
         by = (exchange.request.get(b"gateway") or b"").decode("ascii", "replace")
         with self._lock:
             playing = self._sessions.get(setup)
-            if playing is not None and by and playing.owner != by:
+            if playing is not None and by and playing.run != by:
                 return exchange.reply(204)
         self._end(setup, "released", tell=False)
         return exchange.reply(204)
