Recovery waits for all that is open of a session before it gives its viewer a new set-up

Change: Desk.found is told whether more is open of the same session and holds back until the last is settled.

--- a/otterglade/core/desk.py
+++ b/otterglade/core/desk.py
@@ -154,31 +154,33 @@
             self._out.append(self._setup_of(held))
         return self._done()
 
-    def found(self, now: float, entry: Entry, verdict: Settled, setup_at: int) -> list[Order]:
-        """An attempt that was open at a kill is settled; `setup_at`: the attempt number its address goes by.
+    def found(
+        self, now: float, entry: Entry, verdict: Settled, setup_at: int, more: bool = False
+    ) -> list[Order]:
+        """An attempt that was open at a kill, or is another gateway's, is settled.
 
-        Who asked meanwhile is answered by it: joins what plays, is set up anew where nothing ran, fails where
-        nobody knows.
+        `setup_at`: the attempt number its address goes by. `more`: others of the same session are still being
+        found out; until the last of them is, nobody is given a new set-up or told that there is none.
         """
         self._begin(now)
-        waiting = self.finding.pop(entry.key, [])
-        self._say(
-            "info", "attempt_found_out", setup=entry.setup, fate=verdict.fate.value, waiting=len(waiting)
-        )
+        self._say("info", "attempt_found_out", setup=entry.setup, fate=verdict.fate.value, more=more)
         paid = self.settings.classes[entry.key[1]].effect is not api.Effect.SAFE
-        unsure = verdict.fate is Fate.UNSURE
-        if verdict.adopt and not self._adopt(entry, setup_at):
-            unsure = paid and not verdict.resumed
-        if unsure:
+        missed = verdict.adopt and not self._adopt(entry, setup_at)
+        if verdict.fate is Fate.UNSURE or (missed and paid and not verdict.resumed):
             self._is_unsure(entry.key)
+        if more and entry.key not in self.by_key:
+            return self._done()
+        waiting = self.finding.pop(entry.key, [])
+        if more:
+            self.finding[entry.key] = []
         for deadline, ask in waiting:
             current = self.by_key.get(ask.key)
-            if unsure:
-                self._reply(ask.waiter, Failed("an earlier set-up of this session may have run"))
-            elif current is not None and current.phase is Phase.PLAYING:
+            if current is not None and current.phase is Phase.PLAYING:
                 self._tell_plays(current, ask.waiter)
             elif current is not None:
                 self._attach(current, ask.waiter)
+            elif now < self.unsure.get(ask.key, -math.inf):
+                self._reply(ask.waiter, Failed("an earlier set-up of this session may have run"))
             elif verdict.resumed and paid:
                 # It came by a segment: nobody asked for a set-up that is paid for.
                 self._reply(ask.waiter, Failed("the session has ended"))
--- a/otterglade/core/keeper.py
+++ b/otterglade/core/keeper.py
@@ -96,7 +96,7 @@
         that once he is. What can't be taken over, though the host has made it this run's, is given back.
         """
         number = desk.next_session
-        orders = desk.found(now, entry, verdict, 0)
+        orders = desk.found(now, entry, verdict, 0, more=self.recovery.holds(entry.key))
         held = desk.held.get(number)
         adopted = verdict.adopt and held is not None and held.phase is Phase.PLAYING
         paid = desk.settings.classes[entry.key[1]].effect is not api.Effect.SAFE
