--- a/otterglade/cli/main.py
+++ b/otterglade/cli/main.py
@@ -227,6 +227,73 @@
     return make(scenario, seconds or 60.0, seed, replace(TWO, gateways=gateways or TWO.gateways))
 
 
+@main.command()
+@click.argument("bounds", nargs=-1)
+@click.option("--seconds", type=click.FloatRange(min=0.1), default=300.0, show_default=True)
+@click.option("--states", type=click.IntRange(min=1), default=5_000_000, show_default=True)
+@click.option("--workers", type=click.IntRange(1, 64), default=4, show_default=True)
+@click.option("--walk", type=click.IntRange(min=1), help="Random walks of so many steps in all, by --seed.")
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--replay", type=click.Path(path_type=Path), help="Play a story's file against the code.")
+@click.option("--save", type=click.Path(path_type=Path), help="Write the story that was found to a file.")
+def explore(
+    bounds: tuple[str, ...], seconds: float, states: int, workers: int, walk: int | None, seed: int,
+    replay: Path | None, save: Path | None,
+) -> None:  # fmt: skip
+    """Try every order in which things can happen in a small world around the real core; exit 1 if one breaks.
+
+    BOUNDS are NAME=NUMBER, such as hosts=3 gateways=2 kills=1; see docs/design-explore.md. A story saved
+    under tests/stories/ is a regression test from then on.
+    """
+    from ..explore import search, story
+    from ..explore.world import Scope
+
+    if replay is not None:
+        _replayed(replay)
+        return
+    given: dict[str, int] = {}
+    for bound in bounds:
+        name, _, number = bound.partition("=")
+        if name not in Scope.__dataclass_fields__ or not (number.isascii() and number.isdigit()):
+            known = ", ".join(Scope.__dataclass_fields__)
+            raise click.ClickException(f"bounds: found {bound!r}; allowed: NAME=NUMBER of {known}")
+        given[name] = int(number)
+    for name in ("hosts", "gateways", "viewers", "attempts"):
+        if given.get(name, 1) < 1:
+            raise click.ClickException(f"{name}: found 0; allowed: 1 and more")
+    scope = Scope(**given)
+    if walk is not None:
+        found = search.walk(scope, seed, walk)
+    else:
+        found = search.explore(scope, most=states, seconds=seconds, workers=workers)
+    if found.broken:
+        click.echo(story.told(scope, found.story, found.broken, found.what))
+        if save is not None:
+            story.save(save, story.of(scope, found.story, found.broken, found.what))
+            click.echo(f"saved: {save}")
+    counted = f"{found.states} states, {found.steps} steps, depth {found.depth}, {found.seconds:.1f} s"
+    click.echo(", ".join(f"{x} {y}" for x, y in sorted(found.acts.items())))
+    bound = f"not complete, met its bound: {found.bound}"
+    ended = f"broken: {found.broken}" if found.broken else "complete" if found.complete else bound
+    click.echo(f"{counted}: {ended}")
+    sys.exit(1 if found.broken else 0)
+
+
+def _replayed(path: Path) -> None:
+    from ..explore import story
+
+    try:
+        error = story.replay(path)
+    except story.StoryError as trouble:
+        raise click.ClickException(str(trouble)) from trouble
+    read = story.load(path)
+    click.echo(
+        story.told(read.world(), read.acts(), error.name if error else "", error.what if error else "")
+    )
+    click.echo(f"broken: {error}" if error else "no property breaks")
+    sys.exit(1 if error else 0)
+
+
 @main.command()
 @click.option("--port", type=click.IntRange(0, 65535), default=0, help="For players; 0: any free one.")
 @click.option(
