Claims: a paid set-up is known to other gateways before it goes out

Change: core/claims.py, Keeper, Desk.contested: before its first byte a paid attempt is claimed at two holders of the title, worked out alike by all (rendezvous hashing); a second claimant learns the first one's key and asks its host, by the table of recovery. Hosts keep claims ten minutes; contract.registrars, 2 by default. A session that another gateway took over is TAKEN, not OVER: its claim stays.

--- a/otterglade/config/schema.py
+++ b/otterglade/config/schema.py
@@ -85,6 +85,9 @@
     """Seconds over which further attempts are counted; 0: they are not rationed."""
     budget_free: AtLeast0 = 0.0
     budget_share: AtLeast0 = 0.0
+    registrars: Annotated[int, msgspec.Meta(ge=0, le=4)] = 2
+    """Holders at which a paid set-up is claimed before it goes out, so that another gateway to which its
+    viewer comes knows of it; 0: none, for hosts that keep no claims."""
     max_retry_after: AtLeast0 = 1.0
     """The longest time to stay away that viewers honour, in seconds."""
 
--- a/otterglade/core/attempts.py
+++ b/otterglade/core/attempts.py
@@ -32,6 +32,8 @@
     RAN = "ran"
     OVER = "over"
     UNSURE = "unsure"
+    TAKEN = "taken over"
+    """It plays on at another gateway, which has it from here on: of no account here, and not over."""
 
 
 class Word(Enum):
@@ -80,7 +82,7 @@
         raise EntryError(f"record of the attempts' log: {error}") from error
 
 
-FORGETS = {Fate.NEVER_RAN, Fate.OVER}
+FORGETS = {Fate.NEVER_RAN, Fate.OVER, Fate.TAKEN}
 """Fates after which nothing about an attempt matters any more."""
 
 
--- a/otterglade/core/budget.py
+++ b/otterglade/core/budget.py
@@ -34,6 +34,11 @@
             while self.taken[0] <= now - self.window:
                 self.taken.popleft()
 
+    def give_back(self) -> None:
+        """The session taken last is no new one after all."""
+        if self.taken:
+            self.taken.pop()
+
     def spend(self, now: float) -> bool:
         """Whether a further attempt keeps the rule; if so it is booked."""
         if self.window <= 0:
--- a/otterglade/core/desk.py
+++ b/otterglade/core/desk.py
@@ -154,6 +154,40 @@
             self._out.append(self._setup_of(held))
         return self._done()
 
+    def unclaimed(self, now: float, session: int, attempt: int) -> list[Order]:
+        """No registrar could be had for a paid attempt: it is not sent, as nobody could know of it."""
+        self._begin(now)
+        held = self.held.get(session)
+        if held is not None and held.out == attempt and not held.sent:
+            self._say("warning", "no_registrar", session=session, server=held.server)
+            self._attempt_ended(held, api.Outcome.SKIPPED, None)
+        self._out.append(Fated(session, attempt, Fate.NEVER_RAN))
+        return self._done()
+
+    def contested(self, now: float, session: int, attempt: int) -> list[Order]:
+        """Another gateway has an attempt at this session: it is found out first, and who waits waits on.
+
+        The attempt was not sent. The session goes back to where it was before it was taken, its viewers wait
+        among those of a session that is being found out, and pay for no second place in the budget.
+        """
+        self._begin(now)
+        held = self.held.get(session)
+        if held is not None and held.out == attempt and not held.sent:
+            held.out = None
+            waiting = self.finding.setdefault(held.key, [])
+            for waiter in held.waiters:
+                del self.waiting[waiter]
+                waiting.append((held.deadline, Ask(waiter, held.key, held.top)))
+                self._out.append(Alarm(held.deadline, AlarmKind.FINDING, waiter))
+            held.waiters = []
+            self.budget.give_back()
+            self._say("info", "contested", session=session)
+            self._end(held)
+            self._feed(api.SessionGone(session))
+            self._feed(api.AttemptEnded(session, held.server, attempt, api.Outcome.SKIPPED, 0.0, True, None))
+        self._out.append(Fated(session, attempt, Fate.NEVER_RAN))
+        return self._done()
+
     def found(
         self, now: float, entry: Entry, verdict: Settled, setup_at: int, more: bool = False
     ) -> list[Order]:
@@ -214,12 +248,14 @@
         self._out.append(Publish(held.view()))
         return True
 
-    def session_ended(self, now: float, session: int, attempt: int, cause: str) -> list[Order]:
-        """The host's word that a session is over."""
+    def session_ended(
+        self, now: float, session: int, attempt: int, cause: str, taken_over: bool = False
+    ) -> list[Order]:
+        """The host's word that a session is over, or that another gateway has taken it over."""
         self._begin(now)
         held = self.held.get(session)
         if held is not None and held.phase is Phase.PLAYING and held.attempts - 1 == attempt:
-            self._finish(held, api.Outcome.DONE, cause)
+            self._finish(held, api.Outcome.DONE, cause, taken_over)
         return self._done()
 
     def host_lost(self, now: float, server: int, cause: str) -> list[Order]:
--- a/otterglade/core/keeper.py
+++ b/otterglade/core/keeper.py
@@ -7,16 +7,17 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 import msgspec
 
 from . import interface as api
-from .attempts import Book, Entry, Fate, Recovery, Settled, Word, resumed
+from .attempts import Book, Entry, Fate, Key, Question, Recovery, Settled, Word, resumed
+from .claims import Replaced, Waits, registrars
 from .desk import Desk
 from .held import Phase
-from .messages import Commit, Order, SetUp
+from .messages import AskFate, Commit, Order, SetUp
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,6 +45,9 @@
         self._unsure_for, self._find_out = unsure_for, find_out
         self.book = Book(unsure_for)
         self.recovery = Recovery((), 0.0, 0.0)
+        self.waits: dict[str, Waits] = {}
+        """Attempts that wait for the disk and their registrars, by set-up key."""
+        self.replaced = Replaced()
         self.trouble = ""
         """Why nothing can be written; empty: it can."""
 
@@ -61,18 +65,86 @@
         for question in self.recovery.open.values():
             desk.finding.setdefault(question.entry.key, [])
 
-    def commit(self, order: Commit, setup_key: str, epoch: str, wall: float) -> bytes:
-        """The record to make durable before a byte of the attempt goes out; `epoch`: of the host's run."""
+    def commit(
+        self, desk: Desk, order: Commit, setup_key: str, epochs: Mapping[int, str], wall: float
+    ) -> tuple[bytes, list[int], Entry]:
+        """The record to make durable before a byte of the attempt goes out, and the hosts at which it is to
+        be claimed with it; `epochs`: of the hosts' runs, as far as they are known."""
         setup = order.setup
+        epoch = epochs.get(setup.server, "")
         entry = Entry(setup_key, Fate.BEGUN, wall, setup.key, setup.server, epoch, setup.rung, order.top)
-        return self.book.note(entry)
+        asked = self.registrars(desk, setup.key)
+        self.waits[setup_key] = Waits(setup, entry, set(asked))
+        return self.book.note(entry), asked, entry
+
+    @staticmethod
+    def registrars(desk: Desk, key: Key) -> list[int]:
+        """The hosts that keep claims of a session: one in each of its registrars' cells, ready or draining.
+
+        Worked out from the catalogue's cells, which all gateways have alike, not from who is listed as ready,
+        which they see at different times.
+        """
+        place, s = desk.catalogue.get(key[2]), desk.settings
+        if place is None or not desk.terms.registrars:
+            return []
+        row = [(place.home + n) % s.cells for n in range(min(place.holders, s.cells))]
+        listed: dict[int, int] = {}
+        for number, entry in sorted(desk.entries.items()):
+            if entry.state is not api.State.GONE:
+                listed.setdefault(entry.cell, number)
+        return [listed[x] for x in registrars(key, row, desk.terms.registrars) if x in listed]
 
     def written(self, desk: Desk, now: float, setup: SetUp, setup_key: str, trouble: str) -> list[Order]:
         """It is durable, or `trouble` says why it can't be: then nothing of it counts."""
         self.trouble = trouble
+        waits = self.waits.get(setup_key)
+        if waits is None:
+            return []
         if trouble:
             self.book.entries.pop(setup_key, None)
-        return desk.committed(now, setup.session, setup.attempt, trouble)
+            del self.waits[setup_key]
+            return desk.committed(now, setup.session, setup.attempt, trouble)
+        waits.written = True
+        return self._ready(desk, now, setup_key, waits)
+
+    def claimed(
+        self, desk: Desk, now: float, setup_key: str, server: int, granted: bool, other: Entry | None
+    ) -> list[Order]:
+        """A registrar's word: granted, or whose claim stands; neither: it can't be had."""
+        waits = self.waits.get(setup_key)
+        if waits is None or server not in waits.asked:
+            return []
+        waits.asked.discard(server)
+        waits.granted += granted
+        # Of two claims that stand, one that was not seen to play asks for more care.
+        if other is not None and (waits.other is None or other.fate is Fate.BEGUN):
+            waits.other = other
+        return self._ready(desk, now, setup_key, waits)
+
+    def _ready(self, desk: Desk, now: float, setup_key: str, waits: Waits) -> list[Order]:
+        """Once disk and registrars have answered: send it, give way to another's, or send nothing."""
+        if not waits.settled:
+            return []
+        del self.waits[setup_key]
+        setup = waits.setup
+        if waits.other is not None:
+            orders = desk.contested(now, setup.session, setup.attempt)
+            known = waits.other.setup in self.recovery.open
+            if not known and desk.finding.get(setup.key):
+                self.recovery.open[waits.other.setup] = Question(waits.other, until=now + self._find_out)
+                orders.append(AskFate(waits.other, claimed=True))
+            return orders
+        if not waits.granted and desk.terms.registrars:
+            return desk.unclaimed(now, setup.session, setup.attempt)
+        return desk.committed(now, setup.session, setup.attempt)
+
+    def fated(self, setup_key: str, fate: Fate, wall: float) -> tuple[bytes | None, Entry | None]:
+        """An attempt's fate: the record to write, and the entry whose claims are to follow it."""
+        entry = self.book.entries.get(setup_key)
+        if entry is not None and fate in (Fate.NEVER_RAN, Fate.OVER):
+            self.replaced.add(entry.key, setup_key)
+        record = self.book.changed(setup_key, fate, wall)
+        return record, None if entry is None else msgspec.structs.replace(entry, fate=fate)
 
     def told(self, desk: Desk, now: float, wall: float, entry: Entry, word: Word) -> Done:
         """A host's word on what was open at the start."""
@@ -96,6 +168,8 @@
         that once he is. What can't be taken over, though the host has made it this run's, is given back.
         """
         number = desk.next_session
+        if not verdict.adopt and verdict.fate in (Fate.NEVER_RAN, Fate.OVER):
+            self.replaced.add(entry.key, entry.setup)  # before the desk sends the next attempt
         orders = desk.found(now, entry, verdict, 0, more=self.recovery.holds(entry.key))
         held = desk.held.get(number)
         adopted = verdict.adopt and held is not None and held.phase is Phase.PLAYING
--- a/otterglade/core/messages.py
+++ b/otterglade/core/messages.py
@@ -31,6 +31,8 @@
     """How long a paid session whose set-up may have run is remembered, so that its viewer is not charged
     again."""
     unsure_most: int = 100_000
+    registrars: int = 0
+    """Holders at which a paid attempt is claimed before it goes out; 0: none."""
     durable: bool = False
     """Paid attempts are written down before they go out: `Commit` in place of `SetUp`."""
 
@@ -134,6 +136,8 @@
     """Ask a host what became of a set-up that another gateway, or an earlier run, has made; then `found`."""
 
     entry: Entry
+    claimed: bool = False
+    """It is known by its claim, not by an address that its viewer brought."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/otterglade/core/sessions.py
+++ b/otterglade/core/sessions.py
@@ -329,10 +329,10 @@
         )  # fmt: skip
         self._end(held)
 
-    def _finish(self, held: Held, outcome: api.Outcome, cause: str) -> None:
+    def _finish(self, held: Held, outcome: api.Outcome, cause: str, taken_over: bool = False) -> None:
         """A playing session ends: the module hears it, the fronts drop it."""
         self._say("info", "session_over", session=held.number, server=held.server, cause=cause)
-        self._end(held)
+        self._end(held, taken_over)
         self._feed(self._last_word(held, outcome))
 
     def _lose(self, server: int, cause: str) -> None:
@@ -342,10 +342,10 @@
         for held in lost:
             self._finish(held, api.Outcome.RESET, cause)
 
-    def _end(self, held: Held) -> None:
+    def _end(self, held: Held, taken_over: bool = False) -> None:
         """Take a session off the books; what may have run unseen is remembered."""
         was_playing = held.phase is Phase.PLAYING
-        unseen = was_playing and not held.seen
+        unseen = was_playing and not held.seen and not taken_over
         if held.paid and (unseen or (held.may_have_run and not was_playing)):
             self._is_unsure(held.key)
         self._forget(held)
@@ -356,7 +356,8 @@
         elif was_playing:
             self._out.append(Withdraw(held.key, held.number, not held.paid))
         if was_playing and held.committed is not None:
-            self._out.append(Fated(held.number, held.committed, Fate.UNSURE if unseen else Fate.OVER))
+            fate = Fate.TAKEN if taken_over else Fate.UNSURE if unseen else Fate.OVER
+            self._out.append(Fated(held.number, held.committed, fate))
 
     def _is_unsure(self, key: Key) -> None:
         """A set-up of this session may have run without its viewer's seeing it: he is not charged again."""
--- a/otterglade/explore/story.py
+++ b/otterglade/explore/story.py
@@ -63,11 +63,18 @@
         raise StoryError(f"{path}: {error}") from error
 
 
+OF_CALLS = frozenset(
+    ("claimed", "claim told", "claim lost", "no claim", "arrive", "busy", "cut", "answer", "refused", "reset",
+     "asked", "word", "silent", "silence")
+)  # fmt: skip
+"""Acts whose first number is that of an exchange."""
+
+
 def _arrow(world: World, act: Act) -> tuple[str, str, str]:
     """From whom, to whom, what; an act of one alone has no second."""
     name, n = act[0], int(act[1])
     call: Call | None = None
-    if name in ("arrive", "busy", "cut", "answer", "refused", "reset", "asked", "word", "silent", "silence"):
+    if name in OF_CALLS:
         call = world.calls[n]
     gate = f"g{call.gate}" if call else f"g{n}"
     host = f"h{call.server}" if call else ""
@@ -98,6 +105,14 @@
             return host, gate, f"word on {setup}: {call.answer[0] if call else ''}"
         case "silent" | "silence":
             return host, gate, f"no word on {setup}"
+        case "claimed":
+            return gate, host, f"claims {setup}"
+        case "claim told":
+            granted = call is None or call.answer is True
+            stands = "granted" if granted else f"{world.calls[n].answer.setup} stands"
+            return host, gate, f"claim of {setup}: {stands}"
+        case "claim lost" | "no claim":
+            return host, gate, f"no word on the claim of {setup}"
         case "release" | "release lost":
             setup, server, run = world.releases[n]
             lost = " is lost" if name == "release lost" else ""
--- a/otterglade/gateway/daemon.py
+++ b/otterglade/gateway/daemon.py
@@ -124,7 +124,8 @@
         self.desk = Desk(
             settings, decider(settings, self._seed),
             d.Terms(
-                tuple(x.patience for x in config.classes), limits.margin, limits.sessions, durable=True
+                tuple(x.patience for x in config.classes), limits.margin, limits.sessions,
+                registrars=config.contract.registrars, durable=True
             ),
             {x.name: d.Place(x.home, x.holders) for x in config.titles}, self._recorder,
         )  # fmt: skip
@@ -411,14 +412,14 @@
             case d.SetUp():
                 self.hosts.set_up(order)
             case d.Commit():
-                self.journal.commit(order)
+                self.journal.commit(self.desk, order)
             case d.Spent():
                 if self._spends is not None:
                     self._spends.put(order.number, time.time())
             case d.AskFate():
                 self.journal.resume(order)
             case d.Fated():
-                self.journal.fated(order)
+                self.journal.fated(self.desk, order)
             case d.Cut():
                 self.hosts.cut(order)
             case d.Release():
--- a/otterglade/gateway/hosts.py
+++ b/otterglade/gateway/hosts.py
@@ -13,8 +13,9 @@
 from ..core import interface as api
 from ..core import messages as d
 from ..core.attempts import Entry, Word, heard
+from ..core.claims import Claim, claim_of
 from ..core.outcomes import Phase, Trouble, of_answer, of_trouble
-from ..net.http import Call, Client, ExchangeError
+from ..net.http import Answer, Call, Client, ExchangeError
 from ..net.stream import TimedOutError
 from ..net.threads import Failure, spawn
 from ..net.workers import Workers
@@ -27,6 +28,8 @@
 """The field by which a host says in a refusal that the set-up was not started."""
 PACE = 0.0005
 """Seconds between the starts of two chores while the gateway is in service."""
+CLAIM_LIMIT = 0.5
+"""Seconds for a registrar's word, for which a paid set-up waits."""
 CHORE_LIMIT = 2.0
 """Seconds for a release, a rung or a probe: none of them holds up a viewer."""
 
@@ -135,6 +138,65 @@
         """End what an earlier run may have set up, on behalf of a run."""
         self._chores.submit(lambda: self._release(server, setup, run))
 
+    def claim(
+        self, server: int, entry: Entry, replaces: tuple[str, ...], told: Callable[[bool, Entry | None], None]
+    ) -> None:
+        """Claim an attempt at a registrar; `told` is called on a thread of the pool: whether it is granted,
+        and if not whose claim stands; neither where the registrar can't be had."""
+        claim = claim_of(entry, self._classes[entry.key[1]], replaces)
+
+        def ask() -> None:
+            granted, other = False, None
+            try:
+                answer = self._put_claim(server, claim)
+                granted = answer is not None and answer.status == 204
+                if answer is not None and answer.status == 409:
+                    found = msgspec.json.decode(answer.body, type=Claim)
+                    other = found.entry(entry.key[1], time.time())
+            except (ExchangeError, msgspec.MsgspecError) as error:
+                self._log.info("claim_trouble", server=server, setup=entry.setup, cause=str(error))
+            told(granted, other)
+
+        self._setups.submit(ask)
+
+    def _put_claim(self, server: int, claim: Claim) -> Answer | None:
+        host = self.hosts.get(server)
+        if host is None:
+            return None
+        return host.client.exchange(
+            b"PUT", b"/claims", body=msgspec.json.encode(claim), deadline=time.monotonic() + CLAIM_LIMIT,
+            fields=[(b"Content-Type", b"application/json")],
+        )  # fmt: skip
+
+    def claim_seen(self, server: int, entry: Entry) -> None:
+        """Tell a registrar that the viewer has seen it play; where that is lost, others take more care."""
+        claim = claim_of(entry, self._classes[entry.key[1]], ())
+        self._chores.submit(lambda: self._try_claim(server, claim))
+
+    def _try_claim(self, server: int, claim: Claim) -> None:
+        try:
+            self._put_claim(server, claim)
+        except ExchangeError as error:
+            self._log.debug("claim_trouble", server=server, setup=claim.setup, cause=str(error))
+
+    def unclaim(self, server: int, entry: Entry) -> None:
+        """Give a claim back; one that is not given back costs the next claimant a question."""
+
+        def tell() -> None:
+            host = self.hosts.get(server)
+            if host is None:
+                return
+            try:
+                host.client.exchange(
+                    b"DELETE", b"/claims", deadline=time.monotonic() + CHORE_LIMIT,
+                    body=msgspec.json.encode(claim_of(entry, self._classes[entry.key[1]], ())),
+                    fields=[(b"Content-Type", b"application/json")],
+                )  # fmt: skip
+            except ExchangeError as error:
+                self._log.debug("claim_trouble", server=server, setup=entry.setup, cause=str(error))
+
+        self._chores.submit(tell)
+
     def update(self, listed: tuple[Listed, ...]) -> None:
         """Take over a list: from the loop, before the desk hears it."""
         hosts = {}
@@ -353,7 +415,8 @@
             mine = self._session_of(data.setup)
             if mine is not None:
                 session, attempt = mine
-                loop.put(lambda desk, now: desk.session_ended(now, session, attempt, data.cause or "ended"))
+                cause, taken = data.cause or "ended", data.cause == "taken over"
+                loop.put(lambda desk, now: desk.session_ended(now, session, attempt, cause, taken))
 
     def _session_of(self, key: str) -> tuple[int, int] | None:
         """Session and attempt of a set-up key of this run, or of a session taken over from an earlier one."""
--- a/otterglade/gateway/journal.py
+++ b/otterglade/gateway/journal.py
@@ -92,8 +92,12 @@
         self._loop().put(tell)
 
     def resume(self, order: d.AskFate) -> None:
-        """Find out about a session whose viewer came with its signed address, and make it this gateway's."""
+        """Find out about a session whose viewer came with its signed address, and make it this gateway's; or
+        about another gateway's attempt that its claim told of."""
         entry = order.entry
+        if order.claimed:
+            self._ask(entry)
+            return
 
         def told(word: Word) -> None:
             self._loop().put(
@@ -112,11 +116,11 @@
             self._hosts.release_key(entry.server, entry.setup, done.release_as)
         return done.orders
 
-    def commit(self, order: d.Commit) -> None:
-        """Write an attempt down; the desk is told when it is durable, or why it can't be."""
+    def commit(self, desk: Desk, order: d.Commit) -> None:
+        """Write an attempt down and claim it; the desk is told once both are done, or why they can't be."""
         setup = order.setup
         key = self._hosts.setup_key(setup.session, setup.attempt)
-        record = self.keeper.commit(order, key, self._hosts.epochs.get(setup.server, ""), time.time())
+        record, asked, entry = self.keeper.commit(desk, order, key, self._hosts.epochs, time.time())
 
         def done(error: OSError | None) -> None:
             trouble = "" if error is None else f"paid sessions can't be recorded: {error}"
@@ -127,17 +131,38 @@
             self._loop().put(lambda desk, now: self._written(desk, now, setup, key, trouble))
         else:
             self._log.append(record, done)
+        replaces = self.keeper.replaced.of(entry.key)
+        for server in asked:
+            self._hosts.claim(server, entry, replaces, self._told_claim(key, server))
+
+    def _told_claim(self, key: str, server: int) -> Callable[[bool, Entry | None], None]:
+        """For a thread of the hosts' pool to call with a registrar's word."""
+
+        def told(granted: bool, other: Entry | None) -> None:
+            self._loop().put(lambda desk, now: self.keeper.claimed(desk, now, key, server, granted, other))
+
+        return told
 
     def _written(self, desk: Desk, now: float, setup: d.SetUp, key: str, trouble: str) -> list[d.Order]:
         self._say_trouble(trouble)
         return self.keeper.written(desk, now, setup, key, trouble)
 
-    def fated(self, order: d.Fated) -> None:
-        """Write what became of an attempt. Nobody waits for it: without it a start finds out by asking."""
-        self._write(
-            self.book.changed(self._hosts.setup_key(order.session, order.attempt), order.fate, time.time())
-        )
-        if order.fate is Fate.OVER:
+    def fated(self, desk: Desk, order: d.Fated) -> None:
+        """Write what became of an attempt. Nobody waits for it: without it a start finds out by asking.
+
+        Its claims follow: told that its viewer has seen it, given back where nothing of it matters any more.
+        What may have run keeps them, so that other gateways know.
+        """
+        key = self._hosts.setup_key(order.session, order.attempt)
+        record, entry = self.keeper.fated(key, order.fate, time.time())
+        self._write(record)
+        if entry is not None and order.fate not in (Fate.UNSURE, Fate.TAKEN):
+            for server in self.keeper.registrars(desk, entry.key):
+                if order.fate is Fate.RAN:
+                    self._hosts.claim_seen(server, entry)
+                else:
+                    self._hosts.unclaim(server, entry)
+        if order.fate in (Fate.OVER, Fate.TAKEN):
             self._hosts.forget(order.session)
 
     def _write(self, record: bytes | None) -> None:
--- a/otterglade/standins/host.py
+++ b/otterglade/standins/host.py
@@ -93,6 +93,26 @@
     gateway: str
 
 
+class ClaimBody(msgspec.Struct, frozen=True):
+    """A claim by the host protocol: what another claimant is told of it."""
+
+    viewer: str
+    session_class: str = msgspec.field(name="class")
+    title: str
+    setup: str
+    server: int
+    epoch: str = ""
+    rung: int = 0
+    top: int = 0
+    seen: bool = False
+    replaces: tuple[str, ...] = ()
+
+
+CLAIMS_FOR = 600.0
+"""Seconds for which a claim is kept."""
+MOST_CLAIMS = 100_000
+
+
 class RungBody(msgspec.Struct, frozen=True):
     rung: int
     order: int
@@ -158,6 +178,7 @@
         self._released: deque[str] = deque(maxlen=10_000)
         self._ran: deque[str] = deque(maxlen=10_000)
         self._feeds: dict[str, Feed] = {}
+        self._claims: dict[tuple[str, str, str], tuple[float, ClaimBody]] = {}
         self._arrivals: deque[float] = deque()
         self._titles = {x.name: x for x in spec.titles if (spec.cell - x.home) % spec.cells < x.holders}
         self._rack = Rack(spec.rack_file, spec.rack_place) if spec.rack_file else None
@@ -221,6 +242,8 @@
             return self._release(exchange, parts[1])
         if parts[0] == "sessions" and len(parts) == 3 and method == b"PUT":
             return self._set_rung(exchange, parts[1])
+        if path == "/claims" and method in (b"PUT", b"DELETE"):
+            return self._claim(exchange)
         if path == "/load":
             return exchange.reply(204, [(orca.HEADER, orca.write(self._load()))])
         if path == "/events":
@@ -240,6 +263,29 @@
             title=body.title, paid=body.paid, gateway=body.gateway, **fields,
         )  # fmt: skip
 
+    def _claim(self, exchange: Exchange) -> bytes:
+        """Keep one claim for a viewer's session, for as long as paid sessions are unsure."""
+        try:
+            claim = msgspec.json.decode(exchange.body, type=ClaimBody)
+        except msgspec.MsgspecError as error:
+            return exchange.reply(400, body=f"{error}\n".encode())
+        key, now = (claim.viewer, claim.session_class, claim.title), time.monotonic()
+        with self._lock:
+            at, known = self._claims.get(key, (-CLAIMS_FOR, None))
+            mine = known is not None and (known.setup == claim.setup or known.setup in claim.replaces)
+            if exchange.request.method == b"DELETE":
+                if known is not None and known.setup == claim.setup:
+                    del self._claims[key]
+                return exchange.reply(204)
+            if known is not None and not mine and now - at < CLAIMS_FOR:
+                self.record.write("contested", host=self.spec.id, setup=claim.setup, by=known.setup)
+                return exchange.reply(409, body=msgspec.json.encode(known))
+            self._claims.pop(key, None)
+            self._claims[key] = (now, claim)
+            while len(self._claims) > MOST_CLAIMS:
+                del self._claims[next(iter(self._claims))]
+        return exchange.reply(204)
+
     def _set_up(self, exchange: Exchange, setup: str) -> bytes | None:
         try:
             body = msgspec.json.decode(exchange.body, type=SetupBody)
