Explorer: a gateway finds a session quiet whenever it does, not when its viewer leaves

A test of the door gave the fourth connection no time to be heard. Change: idle is an act of its own, possible while the viewer fetches nothing there, and has to happen.

--- a/otterglade/explore/acts.py
+++ b/otterglade/explore/acts.py
@@ -54,6 +54,7 @@
                 acts.append(("write fails", gate.number))
         if gate.synced:
             acts.append(("written", gate.number))
+        acts += [("idle", gate.number, x) for x in _unwatched(world, gate)]
         if left["kills"]:
             acts.append(("kill", gate.number))
         for n, host in enumerate(world.hosts):
@@ -120,6 +121,17 @@
     return (viewer.name, 0, "a") in desk.by_key
 
 
+def _unwatched(world: World, gate: Gate) -> list[int]:
+    """Sessions that a gateway holds, and whose viewer fetches nothing there: it finds them quiet some day."""
+    found = []
+    for number, held in sorted(gate.alive()[0].held.items()):
+        viewer = world.viewers[world.viewer_named(held.key[0])]
+        here = viewer.state == "playing" and viewer.gate == gate.number
+        if held.phase is Phase.PLAYING and not here and viewer.state != "waiting":
+            found.append(number)
+    return found
+
+
 def _of_call(world: World, n: int, call: Call) -> list[Act]:
     left, question = world.left, call.entry is not None
     if call.claim is not None:
@@ -232,6 +244,8 @@
             _, keeper = gate.alive()
             setup, key = gate.synced.pop(0)
             world.carry(gate, keeper.written(gate.alive()[0], world.now, setup, key, ""))
+        case "idle":
+            world.carry(gate, gate.alive()[0].idle(world.now, [int(numbers[1])]))
         case "learn":
             host = int(numbers[1])
             gate.epochs[host] = world.hosts[host].epoch
@@ -290,17 +304,11 @@
 
 
 def _stop(world: World, n: int) -> None:
-    """A viewer stops watching: every gateway that holds the session finds it quiet sooner or later."""
+    """A viewer stops watching: whoever holds the session finds it quiet, sooner or later."""
     viewer = world.viewers[n]
     viewer.state = "away"
     for charge in world.charges:
         charge.over = charge.over or charge.setup == viewer.plays
-    for gate in world.gates:
-        if gate.up:
-            desk, _ = gate.alive()
-            held = desk.by_key.get((viewer.name, 0, "a"))
-            if held is not None:
-                world.carry(gate, desk.idle(world.now, [held.number]))
 
 
 def _cut(world: World, call: Call) -> None:
--- a/otterglade/explore/story.py
+++ b/otterglade/explore/story.py
@@ -121,6 +121,8 @@
             return "", f"g{world.events[n][0]}", f"is told that {world.events[n][2]} has ended"
         case "forget":
             return f"h{n}", "", "starts anew and has forgotten"
+        case "idle":
+            return f"g{n}", "", f"finds session {act[2]} quiet and ends it"
         case "learn":
             return f"h{act[2]}", f"g{n}", "is known to have started anew"
         case "alarm":
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -132,7 +132,7 @@
         third = door.come(ASK)
         assert first.recv(99) == BUSY
         assert third.recv(999).startswith(b"HTTP/1.1 200")
-        door.come(ASK)
+        assert door.come(ASK).recv(999).startswith(b"HTTP/1.1 200")
         assert second.recv(99) == BUSY
         assert door.listener.turned_away == 2
         refused = door.come()
