--- a/otterglade/core/desk.py
+++ b/otterglade/core/desk.py
@@ -174,7 +174,8 @@
         held = self.held.get(session)
         if held is not None and held.out == attempt and not held.sent:
             held.out = None
-            waiting = self.finding.setdefault(held.key, [])
+            # Where its viewer has left meanwhile nobody has to know: nothing is found out for nobody.
+            waiting = self.finding.setdefault(held.key, []) if held.waiters else []
             for waiter in held.waiters:
                 del self.waiting[waiter]
                 waiting.append((held.deadline, Ask(waiter, held.key, held.top)))
--- a/otterglade/core/keeper.py
+++ b/otterglade/core/keeper.py
@@ -130,7 +130,7 @@
         if waits.other is not None:
             orders = desk.contested(now, setup.session, setup.attempt)
             known = waits.other.setup in self.recovery.open
-            if not known and desk.finding.get(setup.key):
+            if not known and setup.key in desk.finding:
                 self.recovery.open[waits.other.setup] = Question(waits.other, until=now + self._find_out)
                 orders.append(AskFate(waits.other, claimed=True))
             return orders
