A lost host's sessions are released there too: it may only have been silent

Change: what is dropped because its host is lost is released there as well; a dead host refuses that at once.

--- a/otterglade/core/sessions.py
+++ b/otterglade/core/sessions.py
@@ -340,6 +340,8 @@
         if lost:
             self._say("warning", "host_lost", server=server, sessions=len(lost), cause=cause)
         for held in lost:
+            # It may play on: the host was only silent, or had started anew before this session was set up.
+            self._out.append(Release(held.number, held.attempts - 1, held.server))
             self._finish(held, api.Outcome.RESET, cause)
 
     def _end(self, held: Held, taken_over: bool = False) -> None:
