An attempt's life as one table, held by the explorer; what was never sent gives way

Need: each machine is to stand in one table that the code is checked against. Change: attempts.NEXT says what may be written of an attempt after what, and the explorer holds every step of every world to it. Finding, in 33 random steps: an attempt whose time ran out while it waited for its registrar contested the viewer's next one, and became unsure though it was never sent. It gives way now.

--- a/otterglade/core/attempts.py
+++ b/otterglade/core/attempts.py
@@ -5,12 +5,7 @@
 before it is sent, its fate after it is known, and whatever is open at a start is found out before its viewer
 is answered.
 
-An attempt's life, each arrow one record:
-
-    (none) -> BEGUN -> NEVER_RAN | RAN | OVER | UNSURE
-
-NEVER_RAN: provably nothing ran; it may be sent again. RAN: it plays; OVER: what played has ended; its viewer
-may ask anew. UNSURE: it may have run unseen; its viewer is told failed until that is forgotten.
+An attempt's life is the table `NEXT`, each step one record.
 """
 
 from __future__ import annotations
@@ -82,6 +77,18 @@
         raise EntryError(f"record of the attempts' log: {error}") from error
 
 
+NEXT: dict[Fate, frozenset[Fate]] = {
+    # On disk, and perhaps sent. RAN once its viewer is told, so its end before that is no OVER.
+    Fate.BEGUN: frozenset({Fate.NEVER_RAN, Fate.RAN, Fate.UNSURE, Fate.TAKEN, Fate.OVER}),
+    # It plays and its viewer knows: a start finds it again, another gateway may take it, or it ends.
+    Fate.RAN: frozenset({Fate.RAN, Fate.OVER, Fate.TAKEN}),
+    # It may have run unseen: nothing changes that but time.
+    Fate.UNSURE: frozenset(),
+    # Nothing of it matters any more; the book has forgotten it.
+    Fate.NEVER_RAN: frozenset(), Fate.OVER: frozenset(), Fate.TAKEN: frozenset(),
+}  # fmt: skip
+"""What may be written of an attempt after what. The explorer holds every step of every world to it."""
+
 FORGETS = {Fate.NEVER_RAN, Fate.OVER, Fate.TAKEN}
 """Fates after which nothing about an attempt matters any more."""
 
--- a/otterglade/core/keeper.py
+++ b/otterglade/core/keeper.py
@@ -73,6 +73,9 @@
         setup = order.setup
         epoch = epochs.get(setup.server, "")
         entry = Entry(setup_key, Fate.BEGUN, wall, setup.key, setup.server, epoch, setup.rung, order.top)
+        for earlier, waits in self.waits.items():
+            if waits.setup.key == setup.key:  # its time ran out while it waited: it was never sent
+                self.replaced.add(setup.key, earlier)
         asked = self.registrars(desk, setup.key)
         self.waits[setup_key] = Waits(setup, entry, set(asked))
         return self.book.note(entry), asked, entry
--- a/otterglade/explore/world.py
+++ b/otterglade/explore/world.py
@@ -13,7 +13,7 @@
 from ..core import carryover
 from ..core import interface as api
 from ..core import messages as m
-from ..core.attempts import Entry, Fate, Word, heard
+from ..core.attempts import NEXT, Entry, Fate, Word, heard
 from ..core.claims import Claim, claim_of
 from ..core.desk import Desk
 from ..core.keeper import Done, Keeper
@@ -324,6 +324,9 @@
                     self.calls += [Call(gate.number, gate.run, x, key, viewer, claim=claim) for x in asked]
                 case m.Fated(session, attempt, fate):
                     key = gate.key_of(session, attempt)
+                    before = keeper.book.entries.get(key)
+                    if before is not None and fate not in NEXT[before.fate]:
+                        raise BrokenError("books", f"{key}: {before.fate.value}, then {fate.value}")
                     written, kept = keeper.fated(key, fate, WALL)
                     if written is not None:
                         gate.queue.append((written, None, ""))
