Registrars are told over one exchange; a field of claims that nothing read is gone

Cause: reading the change once more: telling a claim seen and giving one back were two copies of one chore beside the claim's own exchange, and Waits.holders was never written or read. Change: HostClient._at_registrar is the one exchange, _claim_chore the one chore around it; the field is gone. No behaviour changed: limits, log lines and order are as they were.

--- a/otterglade/core/claims.py
+++ b/otterglade/core/claims.py
@@ -14,7 +14,7 @@
 import hashlib
 from collections import OrderedDict
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import msgspec
 
@@ -77,8 +77,6 @@
     """Registrars that have not answered."""
     written: bool = False
     granted: int = 0
-    holders: list[int] = field(default_factory=list)
-    """Registrars that hold its claim."""
     other: Entry | None = None
     """Another's attempt at the same session, as a registrar told."""
 
--- a/otterglade/gateway/hosts.py
+++ b/otterglade/gateway/hosts.py
@@ -148,7 +148,7 @@
         def ask() -> None:
             granted, other = False, None
             try:
-                answer = self._put_claim(server, claim)
+                answer = self._at_registrar(b"PUT", server, claim, CLAIM_LIMIT)
                 granted = answer is not None and answer.status == 204
                 if answer is not None and answer.status == 409:
                     found = msgspec.json.decode(answer.body, type=Claim)
@@ -159,44 +159,36 @@
 
         self._setups.submit(ask)
 
-    def _put_claim(self, server: int, claim: Claim) -> Answer | None:
+    def _at_registrar(self, method: bytes, server: int, claim: Claim, limit: float) -> Answer | None:
+        """One exchange about a claim; None where the registrar is not listed. Raises ExchangeError."""
         host = self.hosts.get(server)
         if host is None:
             return None
         return host.client.exchange(
-            b"PUT", b"/claims", body=msgspec.json.encode(claim), deadline=time.monotonic() + CLAIM_LIMIT,
+            method, b"/claims", body=msgspec.json.encode(claim), deadline=time.monotonic() + limit,
             fields=[(b"Content-Type", b"application/json")],
         )  # fmt: skip
 
-    def claim_seen(self, server: int, entry: Entry) -> None:
-        """Tell a registrar that the viewer has seen it play; where that is lost, others take more care."""
+    def _claim_chore(self, method: bytes, server: int, entry: Entry, limit: float) -> None:
+        """Tell a registrar what nobody waits for."""
         claim = claim_of(entry, self._classes[entry.key[1]], ())
-        self._chores.submit(lambda: self._try_claim(server, claim))
-
-    def _try_claim(self, server: int, claim: Claim) -> None:
-        try:
-            self._put_claim(server, claim)
-        except ExchangeError as error:
-            self._log.debug("claim_trouble", server=server, setup=claim.setup, cause=str(error))
-
-    def unclaim(self, server: int, entry: Entry) -> None:
-        """Give a claim back; one that is not given back costs the next claimant a question."""
 
         def tell() -> None:
-            host = self.hosts.get(server)
-            if host is None:
-                return
             try:
-                host.client.exchange(
-                    b"DELETE", b"/claims", deadline=time.monotonic() + CHORE_LIMIT,
-                    body=msgspec.json.encode(claim_of(entry, self._classes[entry.key[1]], ())),
-                    fields=[(b"Content-Type", b"application/json")],
-                )  # fmt: skip
+                self._at_registrar(method, server, claim, limit)
             except ExchangeError as error:
                 self._log.debug("claim_trouble", server=server, setup=entry.setup, cause=str(error))
 
         self._chores.submit(tell)
 
+    def claim_seen(self, server: int, entry: Entry) -> None:
+        """Tell a registrar that the viewer has seen it play; where that is lost, others take more care."""
+        self._claim_chore(b"PUT", server, entry, CLAIM_LIMIT)
+
+    def unclaim(self, server: int, entry: Entry) -> None:
+        """Give a claim back; one that is not given back costs the next claimant a question."""
+        self._claim_chore(b"DELETE", server, entry, CHORE_LIMIT)
+
     def update(self, listed: tuple[Listed, ...]) -> None:
         """Take over a list: from the loop, before the desk hears it."""
         hosts = {}
