--- /dev/null
+++ b/otterglade/core/setups.py
@@ -0,0 +1,414 @@
+"""What the simulator takes as given around the module, without I/O: events in, orders out.
+
+The wire's ids may repeat or be hostile, so requests and hosts get fresh numbers here. At most one of a
+request's attempts is out; they are counted 0, 1, 2 ...; each ends once; a request gets one final answer.
+Whether an attempt ran is told by whoever carries it (`ended`): a time-out is only ordered here (`GiveUp`),
+and until its end is told the attempt counts as out, and the module can send no second one.
+
+A request's life: WAITING (none out) -> OUT -> WAITING ... -> PLAYING -> ended. It is answered by `Serve`,
+`Turn` or `Fault`, once; after that, or once its viewer has gone, nothing is started for it.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+from enum import Enum, auto
+
+from . import interface as api
+from .margin import Margin
+from .policy import Controller
+
+STATED_MARGIN = 0.02
+"""Seconds before a viewer's time is up by which his answer is due: its way back, and a turn of the loop."""
+CUT_HEARD = 1.0
+"""Seconds for which a host may take to tell the end of a session that was cut."""
+
+UNTOLD = -1
+"""The rung of a session that was handed over, until its host tells it."""
+
+
+class Stage(Enum):
+    WAITING = auto()
+    OUT = auto()
+    PLAYING = auto()
+
+
+# Orders
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Set a session up at a host; `time_out`: seconds that the host may take."""
+
+    number: int
+    attempt: int
+    host: int
+    rung: int
+    time_out: float
+
+
+@dataclass(frozen=True, slots=True)
+class GiveUp:
+    """Call an attempt off and tell its end; `late`: its time is up, else its viewer has gone."""
+
+    number: int
+    attempt: int
+    host: int
+    late: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Serve:
+    """The final answer: the session stands."""
+
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Turn:
+    """The final answer: refused; `come_back`: seconds to stay away, 0: no advice."""
+
+    number: int
+    come_back: float
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """The final answer: failed, with no word on whether a set-up ran."""
+
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Rung:
+    """Set the rung of a session that is set up or plays."""
+
+    number: int
+    host: int
+    rung: int
+
+
+@dataclass(frozen=True, slots=True)
+class Cut:
+    """End a session that stands at its host: its viewer has left."""
+
+    number: int
+    host: int
+
+
+@dataclass(frozen=True, slots=True)
+class Release:
+    """Tell the viewer that the session that stood is over."""
+
+    number: int
+    outcome: api.Outcome
+
+
+@dataclass(frozen=True, slots=True)
+class Move:
+    """Take a session off its host; its viewer comes again."""
+
+    number: int
+    host: int
+
+
+@dataclass(frozen=True, slots=True)
+class Over:
+    """Nothing is held of a request any more."""
+
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """Test a host and have its load told."""
+
+    host: int
+
+
+@dataclass(frozen=True, slots=True)
+class AskList:
+    """Ask the name service now."""
+
+
+@dataclass(frozen=True, slots=True)
+class Say:
+    text: str
+
+
+Order = Send | GiveUp | Serve | Turn | Fault | Rung | Cut | Release | Move | Over | Ask | AskList | Say
+
+
+@dataclass(slots=True, eq=False)
+class Setup:
+    """One request, from its arrival until nothing of it is left."""
+
+    until: float
+    """When its viewer's time is up, less what is kept back for the answer's way."""
+    stage: Stage = Stage.WAITING
+    attempts: int = 0
+    host: int = -1
+    rung: int = 0
+    sent: float = 0.0
+    answered: bool = False
+    gone: bool = False
+    moved: bool = False
+
+
+class Setups:
+    """The books around one `Controller`. Every method takes the time in seconds and returns orders."""
+
+    def __init__(self, settings: api.Settings, seed: int) -> None:
+        self.settings = settings
+        self.controller = Controller(settings, seed)
+        self.margin = Margin()
+        self.open: dict[int, Setup] = {}
+        self.hosts: dict[str, int] = {}
+        self._entries: dict[int, api.ServerEntry] = {}
+        self._last = 0
+        self._timers: list[tuple[float, int, int, int]] = []
+        self._set = 0
+        self._later: deque[api.Event] = deque()
+        self._orders: list[Order] = []
+
+    # Hosts
+
+    def host(self, name: str) -> int:
+        """The number of a host; the same as long as it is known."""
+        return self.hosts.setdefault(name, len(self.hosts))
+
+    def listed(self, now: float, entries: Iterable[api.ServerEntry]) -> list[Order]:
+        """The whole list of hosts. The module is told what has changed: whoever a list omits is gone."""
+        fresh = {x.server: x for x in entries}
+        changed = [x for x in fresh.values() if self._entries.get(x.server) != x]
+        changed += [
+            replace(x, state=api.State.GONE)
+            for x in self._entries.values()
+            if x.server not in fresh and x.state is not api.State.GONE
+        ]
+        first = not self._entries
+        self._entries = fresh
+        if first:
+            return self._tell(now, api.ServerList(tuple(fresh.values()), complete=True, cached=True))
+        return self._tell(now, api.ServerList(tuple(changed), complete=False)) if changed else []
+
+    # Requests
+
+    def start(self, now: float) -> list[Order]:
+        self._carry(now, self.controller.start(now))
+        return self._done()
+
+    def request(self, now: float, terms: api.SessionRequest) -> tuple[int, list[Order]]:
+        """A request was taken; `terms.session` is replaced by the number that is returned."""
+        self._last += 1
+        number, patience = self._last, terms.patience
+        kept = self.margin.of(now, STATED_MARGIN, patience)
+        setup = Setup(now + max(0.0, patience - kept))
+        self.open[number] = setup
+        self._timer(setup.until, number, -1)
+        told = replace(terms, session=number, patience=setup.until - now)
+        return number, self._tell(now, told)
+
+    def handed_over(self, now: float, terms: api.SessionRequest, host: int) -> tuple[int, list[Order]]:
+        """A session that plays already; it counts as attempt 0."""
+        self._last += 1
+        number = self._last
+        self.open[number] = Setup(now, Stage.PLAYING, 1, host, UNTOLD, now, answered=True)
+        return number, self._tell(now, api.SessionHandedOver(replace(terms, session=number), host))
+
+    def gone(self, now: float, number: int) -> list[Order]:
+        """The viewer has given up, or left the session that stood."""
+        setup = self.open.get(number)
+        if setup is None or setup.gone:
+            return []
+        setup.gone = True
+        if setup.stage is Stage.OUT:
+            self._orders.append(GiveUp(number, setup.attempts - 1, setup.host, late=False))
+        elif setup.stage is Stage.PLAYING:
+            self._orders.append(Cut(number, setup.host))
+            self._timer(now + CUT_HEARD, number, setup.attempts - 1)
+        else:
+            self._drop(number)
+        return self._tell(now, api.SessionGone(number))
+
+    # Attempts
+
+    def plays(self, now: float, number: int, attempt: int) -> list[Order]:
+        """A host has answered that the session stands. Where nobody waits for it any more it is cut."""
+        setup = self.open.get(number)
+        if setup is None or setup.stage is not Stage.OUT or attempt != setup.attempts - 1:
+            return []
+        setup.stage = Stage.PLAYING
+        if setup.gone:
+            self._orders.append(Cut(number, setup.host))
+            self._timer(now + CUT_HEARD, number, attempt)
+            return self._done()
+        setup.answered = True
+        self._orders.append(Serve(number))
+        return self._tell(now, api.SessionPlays(number, setup.host, attempt, now - setup.sent))
+
+    def ended(
+        self, now: float, number: int, attempt: int, outcome: api.Outcome, load: api.Load | None = None
+    ) -> list[Order]:
+        """An attempt that was out, or the session that it set up, has ended."""
+        setup = self.open.get(number)
+        if setup is None or setup.stage is Stage.WAITING or attempt != setup.attempts - 1:
+            return []
+        stood, host = setup.stage is Stage.PLAYING, setup.host
+        setup.stage = Stage.WAITING
+        final = setup.answered or setup.gone
+        event = api.AttemptEnded(number, host, attempt, outcome, now - setup.sent, final, load)
+        if final:
+            if stood and not setup.gone and not setup.moved:
+                self._orders.append(Release(number, outcome))
+            self._drop(number)
+        return self._tell(now, event)
+
+    # What hosts tell
+
+    def note(self, now: float, event: api.DeliveryNote | api.LoadNote) -> list[Order]:
+        return self._tell(now, event)
+
+    def rung_told(self, now: float, number: int, rung: int) -> list[Order]:
+        """A host tells the rung in force; one that is not on the ladder is no rung."""
+        setup = self.open.get(number)
+        if setup is None or setup.stage is not Stage.PLAYING or not 0 <= rung < len(self.settings.ladder):
+            return []
+        setup.rung = rung
+        return self._tell(now, api.RungNote(number, rung))
+
+    def probed(
+        self, now: float, host: int, outcome: api.Outcome, took: float, load: api.Load | None
+    ) -> list[Order]:
+        return self._tell(now, api.ProbeAnswered(host, outcome, took, load))
+
+    # Time
+
+    def next_due(self) -> float | None:
+        return self._timers[0][0] if self._timers else None
+
+    def due(self, now: float) -> list[Order]:
+        """Everything whose time has come."""
+        while self._timers and self._timers[0][0] <= now:
+            _, _, number, what = heapq.heappop(self._timers)
+            if number < 0:
+                self._carry(now, self.controller.handle(now, api.TimerFired(what)))
+            elif what < 0:
+                self._time_up(now, number)
+            else:
+                self._attempt_up(now, number, what)
+            self._follow(now)
+        return self._done()
+
+    def _timer(self, when: float, number: int, what: int) -> None:
+        """`number` -1: the module's own, with its token; `what` -1: the viewer's time, else an attempt's."""
+        self._set += 1
+        heapq.heappush(self._timers, (when, self._set, number, what))
+
+    def _time_up(self, now: float, number: int) -> None:
+        setup = self.open.get(number)
+        if setup is None or setup.answered or setup.gone:
+            return
+        if setup.stage is Stage.OUT:
+            self._orders.append(GiveUp(number, setup.attempts - 1, setup.host, late=True))
+            return
+        # The module holds a request for a part of its aim only: this guards rule 1 against a lost timer.
+        self._orders.append(Say(f"request {number}: its time is up with no answer"))
+        self._finish(number, Fault(number))
+        self._later.append(api.SessionGone(number))
+
+    def _attempt_up(self, now: float, number: int, attempt: int) -> None:
+        setup = self.open.get(number)
+        if setup is None or attempt != setup.attempts - 1:
+            return
+        if setup.stage is Stage.OUT:
+            self._orders.append(GiveUp(number, attempt, setup.host, late=True))
+        elif setup.stage is Stage.PLAYING and (setup.gone or setup.moved):
+            # The cut is written: for the rules the session is over, whether its host tells its end or not.
+            orders = self.ended(now, number, attempt, api.Outcome.CANCELLED)
+            self._orders = orders + self._orders
+
+    # The module's actions
+
+    def _tell(self, now: float, event: api.Event) -> list[Order]:
+        self._later.append(event)
+        self._follow(now)
+        return self._done()
+
+    def _follow(self, now: float) -> None:
+        while self._later:
+            self._carry(now, self.controller.handle(now, self._later.popleft()))
+
+    def _done(self) -> list[Order]:
+        orders, self._orders = self._orders, []
+        return orders
+
+    def _carry(self, now: float, actions: list[api.Action]) -> None:
+        for action in actions:
+            match action:
+                case api.StartAttempt(number, server, time_out):
+                    self._send(now, number, server, time_out)
+                case api.ChooseRung(number, rung):
+                    setup = self.open.get(number)
+                    if setup is not None and setup.rung != rung:
+                        setup.rung = rung
+                        if setup.stage is not Stage.WAITING:
+                            self._orders.append(Rung(number, setup.host, rung))
+                case api.Refuse(number, come_back):
+                    self._finish(number, Turn(number, come_back))
+                case api.Fail(number):
+                    self._finish(number, Fault(number))
+                case api.MoveSession(number):
+                    self._move(now, number)
+                case api.Probe(server):
+                    self._orders.append(Ask(server))
+                case api.SetTimer(token, at):
+                    self._timer(at, -1, token)
+                case api.AskForList():
+                    self._orders.append(AskList())
+                case api.Log(text):
+                    self._orders.append(Say(text))
+
+    def _send(self, now: float, number: int, server: int, time_out: float) -> None:
+        setup = self.open.get(number)
+        if setup is None or setup.answered or setup.gone or setup.stage is not Stage.WAITING:
+            self._orders.append(Say(f"request {number}: an attempt that may not go was held back"))
+            return
+        left = setup.until - now
+        if setup.attempts >= self.settings.max_attempts or left <= 0:
+            self._later.append(
+                api.AttemptEnded(number, server, setup.attempts, api.Outcome.SKIPPED, 0.0, False, None)
+            )
+            return
+        allowed = min(time_out, left) if time_out > 0 else left
+        setup.stage, setup.host, setup.sent = Stage.OUT, server, now
+        self._orders.append(Send(number, setup.attempts, server, setup.rung, allowed))
+        if allowed < left:
+            self._timer(now + allowed, number, setup.attempts)
+        setup.attempts += 1
+
+    def _finish(self, number: int, order: Turn | Fault) -> None:
+        setup = self.open.get(number)
+        if setup is None or setup.answered or setup.gone:
+            return
+        setup.answered = True
+        self._orders.append(order)
+        if setup.stage is Stage.OUT:
+            self._orders.append(GiveUp(number, setup.attempts - 1, setup.host, late=False))
+        else:
+            self._drop(number)
+
+    def _move(self, now: float, number: int) -> None:
+        setup = self.open.get(number)
+        if setup is None or setup.stage is not Stage.PLAYING or setup.gone or setup.moved:
+            return
+        setup.moved = True
+        self._orders.append(Move(number, setup.host))
+        self._timer(now + CUT_HEARD, number, setup.attempts - 1)
+
+    def _drop(self, number: int) -> None:
+        del self.open[number]
+        self._orders.append(Over(number))
--- /dev/null
+++ b/otterglade/net/reactor.py
@@ -0,0 +1,333 @@
+"""One thread that watches many sockets: epoll, non-blocking channels, timers, and a quota for each turn.
+
+Nothing here parses: a channel hands bytes to its handler, a slice at a time. A turn reads at most `SLICE`
+bytes of a channel, and a handler that has more to work on than its own quota asks to be called again, after
+everyone else has had a turn: so no peer at full speed delays the others. What has come in is heard before
+timers that are due, as an answer that waits in the kernel has come in time.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import errno
+import heapq
+import itertools
+import select
+import socket
+import time
+from collections.abc import Callable
+from typing import Protocol
+
+SLICE = 16384
+"""Bytes read of a channel in one turn."""
+ACCEPTS = 64
+"""Newcomers accepted in one turn."""
+OUT_MOST = 1 << 18
+"""Bytes that wait for a peer that does not read, before its channel is closed."""
+DRAIN_MOST, DRAIN_FOR = 1 << 20, 0.5
+"""Bytes and seconds for which a peer that was told an error is still read: a close with unread bytes resets
+the connection, and the error could be lost on its way."""
+
+Address = tuple[str, int]
+
+
+class Handler(Protocol):
+    """What a channel calls. A handler's failure is the program's: it is not caught here."""
+
+    def heard(self, data: bytes) -> bool:
+        """Bytes came, or with none of them the turn asked for has come. True: call again, more waits."""
+
+    def connected(self) -> None:
+        """A channel that was opened from here is up."""
+
+    def ended(self, cause: str) -> None:
+        """The channel is closed, not by its owner: "closed", "reset", "refused", "timed out", "full"."""
+
+
+class Reactor:
+    """The loop. `clock` gives seconds; `rang` is told when a timer rings late."""
+
+    def __init__(self, clock: Callable[[], float] = time.time) -> None:
+        self.clock = clock
+        self.rang: Callable[[float, float], None] = lambda now, due: None
+        self._epoll = select.epoll()
+        self._watched: dict[int, Callable[[int], None]] = {}
+        self._timers: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self._waiting: dict[Channel, None] = {}
+        self._soon: list[Callable[[], None]] = []
+        self._running = True
+        self.finishing = 0
+        """Channels that were told to finish and still hold a descriptor."""
+
+    def watch(self, fd: int, call: Callable[[int], None], events: int = select.EPOLLIN) -> None:
+        """Have `call` told of events on a descriptor. Raises OSError where it can't be watched."""
+        self._epoll.register(fd, events)
+        self._watched[fd] = call
+
+    def change(self, fd: int, events: int) -> None:
+        self._epoll.modify(fd, events)
+
+    def forget(self, fd: int) -> None:
+        if self._watched.pop(fd, None) is not None:
+            self._epoll.unregister(fd)
+
+    def at(self, when: float, call: Callable[[], None]) -> None:
+        """Have `call` made once, at or after a time."""
+        heapq.heappush(self._timers, (when, next(self._order), call))
+
+    def soon(self, call: Callable[[], None]) -> None:
+        """Have `call` made once, in the next turn."""
+        self._soon.append(call)
+
+    def again(self, channel: Channel) -> None:
+        """Call a channel's handler in the next turn."""
+        self._waiting[channel] = None
+
+    def stop(self) -> None:
+        self._running = False
+
+    def run(self) -> None:
+        """Serve until `stop`."""
+        while self._running:
+            self.turn()
+
+    def turn(self, longest: float = 1.0) -> None:
+        """One turn: what came in, then those who asked to be called again, then timers."""
+        wait = min(longest, self._timers[0][0] - self.clock()) if self._timers else longest
+        if self._waiting or self._soon:
+            wait = 0.0
+        for fd, events in self._epoll.poll(max(0.0, wait), 4096):
+            call = self._watched.get(fd)
+            if call is not None:
+                call(events)
+        soon, self._soon = self._soon, []
+        for call_soon in soon:
+            call_soon()
+        waiting, self._waiting = self._waiting, {}
+        for channel in waiting:
+            channel.more()
+        now = self.clock()
+        while self._timers and self._timers[0][0] <= now:
+            due, _, call_timer = heapq.heappop(self._timers)
+            self.rang(now, due)
+            call_timer()
+
+    def close(self) -> None:
+        self._epoll.close()
+
+
+class Channel:
+    """A non-blocking connection. `close` by its owner is silent; of any other end the handler is told."""
+
+    __slots__ = (
+        "_closing",
+        "_drained",
+        "_out",
+        "_reactor",
+        "_sock",
+        "closed",
+        "handler",
+        "queued",
+        "taken",
+        "up",
+    )
+
+    def __init__(self, reactor: Reactor, sock: socket.socket, handler: Handler, up: bool = True) -> None:
+        """Raises OSError where the socket can't be watched; it is closed then."""
+        self._reactor, self._sock, self.handler, self.up = reactor, sock, handler, up
+        self._out = bytearray()
+        self.queued = self.taken = 0
+        """Bytes given to this channel, and of these what the kernel has taken."""
+        self.closed = False
+        self._closing = False
+        self._drained = 0
+        try:
+            reactor.watch(sock.fileno(), self._event, select.EPOLLIN if up else select.EPOLLOUT)
+        except OSError:
+            sock.close()
+            raise
+
+    @classmethod
+    def open(cls, reactor: Reactor, address: Address, handler: Handler, time_out: float) -> Channel:
+        """Begin to connect; `connected` or `ended` is told later. Raises OSError where it can't begin."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            code = sock.connect_ex(address)
+            if code not in (0, errno.EINPROGRESS):
+                raise OSError(code, errno.errorcode.get(code, "connect"))
+        except OSError:
+            sock.close()
+            raise
+        channel = cls(reactor, sock, handler, up=False)
+        reactor.at(reactor.clock() + time_out, channel._late)
+        return channel
+
+    def _late(self) -> None:
+        if not self.up and not self.closed:
+            self._fail("timed out")
+
+    @property
+    def unsent(self) -> int:
+        return len(self._out)
+
+    def send(self, data: bytes) -> None:
+        """Give bytes to the peer, now or when it takes them; nothing once the channel is closing."""
+        if self.closed or self._closing:
+            return
+        self.queued += len(data)
+        if self._out or not self.up:
+            self._out += data
+            if len(self._out) > OUT_MOST:
+                self._reactor.soon(lambda: self._fail("full"))
+            return
+        sent = self._write(data)
+        if sent < len(data) and not self.closed:
+            self._out += data[sent:]
+            self._reactor.change(self._sock.fileno(), self._events())
+
+    def _events(self) -> int:
+        return select.EPOLLIN | (select.EPOLLOUT if self._out else 0)
+
+    def _write(self, data: bytes | bytearray) -> int:
+        try:
+            sent = self._sock.send(data)
+        except BlockingIOError:
+            return 0
+        except OSError:
+            # Told in a turn of its own: who is sending must not find itself closed in the middle of it.
+            self._reactor.soon(lambda: self._fail("reset"))
+            return 0
+        self.taken += sent
+        return sent
+
+    def stale(self) -> bool:
+        """Whether an idle connection has ended or brings what nobody has read yet."""
+        if self.closed or not self.up:
+            return self.closed
+        try:
+            return not self._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
+    def _event(self, events: int) -> None:
+        if self.closed:
+            return
+        if not self.up:
+            code = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if code:
+                self._fail("refused" if code == errno.ECONNREFUSED else "timed out")
+                return
+            self.up = True
+            self.handler.connected()
+            if self.closed:
+                return
+            self._flush()
+            return
+        if events & select.EPOLLOUT and self._out:
+            self._flush()
+        if not self.closed and events & ~select.EPOLLOUT and self not in self._reactor._waiting:
+            self._read()
+
+    def _flush(self) -> None:
+        sent = self._write(self._out) if self._out else 0
+        if self.closed:
+            return
+        del self._out[:sent]
+        if self._closing and not self._out:
+            self._shut()
+        else:
+            self._reactor.change(self._sock.fileno(), self._events())
+
+    def _read(self) -> None:
+        try:
+            data = self._sock.recv(SLICE)
+        except BlockingIOError:
+            return
+        except OSError:
+            self._fail("reset")
+            return
+        if not data:
+            self._fail("closed")
+        elif self._closing:
+            self._drained += len(data)
+            if self._drained > DRAIN_MOST:
+                self.close()
+        elif self.handler.heard(data):
+            self._reactor.again(self)
+
+    def more(self) -> None:
+        """The turn that was asked for."""
+        if not self.closed and not self._closing and self.handler.heard(b""):
+            self._reactor.again(self)
+
+    def _fail(self, cause: str) -> None:
+        if not self.closed:
+            quiet = self._closing
+            self.close()
+            if not quiet:
+                self.handler.ended(cause)
+
+    def finish(self) -> None:
+        """Close once what was sent is taken and the peer has had time to read it; nothing more is heard."""
+        if self.closed or self._closing:
+            return
+        self._closing = True
+        self._reactor.finishing += 1
+        self._reactor.at(self._reactor.clock() + DRAIN_FOR, self.close)
+        if not self._out:
+            self._shut()
+
+    def _shut(self) -> None:
+        with contextlib.suppress(OSError):  # the peer may have gone first; the close is due all the same
+            self._sock.shutdown(socket.SHUT_WR)
+        if not self.closed:
+            self._reactor.change(self._sock.fileno(), select.EPOLLIN)
+
+    def close(self) -> None:
+        """Close at once; the handler is not told."""
+        if not self.closed:
+            self.closed = True
+            self._reactor.finishing -= self._closing
+            self._reactor.forget(self._sock.fileno())
+            self._sock.close()
+            self._out.clear()
+
+
+class Listener:
+    """A listening socket; each newcomer is handed on as a non-blocking socket."""
+
+    def __init__(self, reactor: Reactor, address: Address, newcomer: Callable[[socket.socket], None]) -> None:
+        """Raises OSError where the address can't be had."""
+        self._reactor, self._newcomer = reactor, newcomer
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self.sock.setblocking(False)
+            self.sock.bind(address)
+            self.sock.listen(4096)
+            reactor.watch(self.sock.fileno(), self._ready)
+        except OSError:
+            self.sock.close()
+            raise
+
+    def _ready(self, events: int) -> None:
+        for _ in range(ACCEPTS):
+            try:
+                sock, _ = self.sock.accept()
+            except BlockingIOError:
+                return
+            except OSError:
+                return  # out of descriptors, or the peer has gone already: tried again with the next event
+            sock.setblocking(False)
+            with contextlib.suppress(OSError):  # gone already: the first read tells it
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self._newcomer(sock)
+
+    def close(self) -> None:
+        self._reactor.forget(self.sock.fileno())
+        self.sock.close()
--- /dev/null
+++ b/otterglade/node/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's door: RTSP with viewers and hosts, its name service, signals; one process, one thread."""
--- /dev/null
+++ b/otterglade/node/__main__.py
@@ -0,0 +1,58 @@
+"""`python -m otterglade.node`: one gateway, as the platform starts it."""
+
+from __future__ import annotations
+
+import signal
+import socket
+
+# Before all else: a signal that comes during the imports would end the process.
+_wakeup, _signalled = socket.socketpair()
+_wakeup.setblocking(False)
+_signalled.setblocking(False)
+signal.set_wakeup_fd(_signalled.fileno(), warn_on_full_buffer=False)
+for _number in (signal.SIGTERM, signal.SIGHUP):
+    signal.signal(_number, lambda number, frame: None)
+
+import os  # noqa: E402
+import sys  # noqa: E402
+import time  # noqa: E402
+
+
+def main() -> int:
+    """Serve until SIGTERM; returns the exit code, 2 for a configuration that can't be read."""
+    from ..net.reactor import Reactor
+    from .config import ConfigError, load
+    from .gateway import Gateway
+
+    began = time.monotonic()
+    base = time.time() - began
+    log_lines = 0
+
+    def say(text: str) -> None:
+        nonlocal log_lines
+        log_lines += 1
+        if log_lines <= LOG_MOST:
+            print(f"{time.time() - base - began:.3f} {text}", file=sys.stderr, flush=True)
+
+    path = os.environ.get("BALANCER_CONFIG", "")
+    try:
+        config = load(path)
+    except ConfigError as error:
+        print(f"otterglade: BALANCER_CONFIG: {error}", file=sys.stderr)
+        return 2
+    reactor = Reactor(time.time)
+    try:
+        gateway = Gateway(config, path, reactor, say)
+    except OSError as error:
+        print(f"otterglade: listen {config.listen[0]}:{config.listen[1]}: {error}", file=sys.stderr)
+        return 1
+    gateway.watch_signals(_wakeup)
+    reactor.run()
+    return 0
+
+
+LOG_MOST = 20_000
+"""Lines written to the log at most: a log that grows for ever counts as memory."""
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/otterglade/node/door.py
@@ -0,0 +1,294 @@
+"""Viewers' connections: what they ask is checked here and handed on, what they are owed goes back.
+
+A connection carries many sessions, and a session that stands may be ended on any connection. Bounds: a
+connection with no session on it is closed after a while, one that sends what can't be read is told so and
+closed, and where there are too many, the one that has had nothing on it for the longest goes first.
+"""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from ..core import interface as api
+from ..net.reactor import Address, Channel, Listener, Reactor
+from ..wire import rtsp
+from . import messages
+
+MESSAGES = 16
+"""Messages of one connection handled in a turn."""
+SILENT_FOR = 2.0
+"""Seconds for which a connection may say nothing, or leave a message half said, before it is closed."""
+IDLE_FOR = 6.0
+"""The same for one that has had a session or a test on it: viewers close theirs after 4 s."""
+ERRORS_MOST = 4
+"""Messages of one connection that mean nothing, before it is closed."""
+OPEN_MOST = 256
+"""Set-ups open on one connection; one more is refused."""
+
+
+class Owner(Protocol):
+    """Who is told what viewers ask."""
+
+    def asked(self, seat: Seat, request: api.SessionRequest, playing_at: str | None) -> None: ...
+    def left(self, seat: Seat) -> None: ...
+
+
+@dataclass(slots=True, eq=False)
+class Seat:
+    """A viewer's session, from its set-up on."""
+
+    session: bytes
+    viewer: Viewer | None
+    lane: bytes
+    title: str
+    description: bytes
+    number: int = 0
+    open: bool = True
+    """Its set-up has no answer yet."""
+
+
+class Viewer:
+    """One connection."""
+
+    def __init__(self, door: Door, sock: socket.socket) -> None:
+        self.door = door
+        self.reader = rtsp.Reader()
+        self.open: dict[bytes, Seat] = {}
+        self.standing: dict[bytes, Seat] = {}
+        self.errors = 0
+        self.useful = False
+        self.quiet_since = door.reactor.clock()
+        self.channel = Channel(door.reactor, sock, self)
+
+    def connected(self) -> None:
+        """Newcomers are connected when they come."""
+
+    def heard(self, data: bytes) -> bool:
+        self.quiet_since = self.door.reactor.clock()
+        try:
+            if data:
+                self.reader.feed(data)
+            for _ in range(MESSAGES):
+                message = self.reader.next()
+                if message is None:
+                    return False
+                self.door.message(self, message)
+                if self.channel.closed or self not in self.door.viewers:
+                    return False
+        except rtsp.RtspError as error:
+            self.door.unreadable(self, str(error))
+            return False
+        return True
+
+    def ended(self, cause: str) -> None:
+        self.door.ended(self)
+
+
+@dataclass(slots=True)
+class Counts:
+    """What the door has met, for the log."""
+
+    refused: dict[str, int] = field(default_factory=dict)
+
+    def add(self, why: str) -> bool:
+        """Count a reason; True the first time."""
+        self.refused[why] = self.refused.get(why, 0) + 1
+        return self.refused[why] == 1
+
+
+class Door:
+    """The listening socket and all that came in by it."""
+
+    def __init__(
+        self,
+        reactor: Reactor,
+        address: Address,
+        owner: Owner,
+        settings: api.Settings,
+        classes: tuple[str, ...],
+        most: int,
+        say: Callable[[str], None],
+    ) -> None:
+        """`most`: connections held at once. Raises OSError where the address can't be had."""
+        self.reactor, self.owner, self.settings = reactor, owner, settings
+        self.classes, self.most, self.say = classes, most, say
+        self.viewers: dict[Viewer, None] = {}
+        self.seats: dict[bytes, Seat] = {}
+        self.counts = Counts()
+        self._unsaid: dict[bytes, tuple[bytes, float]] = {}
+        """Releases for which no viewer's connection was open, and until when they are owed."""
+        self._listener = Listener(reactor, address, self._newcomer)
+
+    def stop_listening(self) -> None:
+        self._listener.close()
+
+    # Connections
+
+    def _newcomer(self, sock: socket.socket) -> None:
+        if len(self.viewers) + self.reactor.finishing >= self.most and not self._make_room():
+            sock.close()
+            return
+        try:
+            viewer = Viewer(self, sock)
+        except OSError as error:
+            self.say(f"a connection can't be watched: {error}")
+            return
+        self.viewers[viewer] = None
+
+    def _make_room(self) -> bool:
+        """Close the connection that matters least: never useful and quiet for longest, else just quiet."""
+        free = [x for x in self.viewers if not x.open and not x.standing]
+        if not free:
+            return False
+        self._close(min(free, key=lambda x: (x.useful, x.quiet_since)))
+        return True
+
+    def _close(self, viewer: Viewer, last: bytes = b"") -> None:
+        """Close a connection from here, after a last word if there is one."""
+        if last:
+            viewer.channel.send(last)
+            viewer.channel.finish()
+        else:
+            viewer.channel.close()
+        self.ended(viewer)
+
+    def ended(self, viewer: Viewer) -> None:
+        """A connection is no more: its open set-ups are given up, what stands goes on."""
+        if self.viewers.pop(viewer, False) is False:
+            return
+        for seat in list(viewer.open.values()):
+            seat.viewer = None
+            self.owner.left(seat)
+        for seat in viewer.standing.values():
+            seat.viewer = None
+        viewer.open.clear()
+        viewer.standing.clear()
+
+    def unreadable(self, viewer: Viewer, why: str) -> None:
+        if self.counts.add(why):
+            self.say(f"a viewer's bytes can't be read: {why}")
+        self._close(viewer, messages.error(400))
+
+    def sweep(self) -> None:
+        """Close connections on which nothing has happened for too long."""
+        now = self.reactor.clock()
+        for viewer in list(self.viewers):
+            quiet = now - viewer.quiet_since
+            if quiet <= SILENT_FOR or viewer.open:
+                continue
+            if viewer.reader.held:
+                self.unreadable(viewer, "half a message")
+            elif not viewer.standing and (not viewer.useful or quiet > IDLE_FOR):
+                self._close(viewer)
+        told = next((x for x in self.viewers if x.useful and not x.channel.closed), None)
+        for session, (wire, until) in list(self._unsaid.items()):
+            if told is not None:
+                told.channel.send(wire)
+            if told is not None or until < now:
+                del self._unsaid[session]
+
+    # What viewers say
+
+    def message(self, viewer: Viewer, message: rtsp.Message) -> None:
+        if message.method == b"SETUP":
+            self._set_up(viewer, message)
+        elif message.method == b"TEARDOWN":
+            seat = self.seats.get(message.session)
+            if seat is not None:
+                viewer.channel.send(messages.heard(message))
+                self.owner.left(seat)
+        elif message.method == b"OPTIONS":
+            viewer.useful = True
+            viewer.channel.send(messages.heard(message))
+        elif not message.status:
+            self._mean_nothing(viewer, message, "method")
+
+    def _mean_nothing(self, viewer: Viewer, message: rtsp.Message, why: str) -> None:
+        if self.counts.add(why):
+            self.say(f"a request is not taken: {why}")
+        viewer.errors += 1
+        if viewer.errors >= ERRORS_MOST:
+            self._close(viewer, messages.error(400, message))
+        else:
+            viewer.channel.send(messages.error(400, message))
+
+    def _set_up(self, viewer: Viewer, message: rtsp.Message) -> None:
+        session = message.session
+        if not session:
+            self._mean_nothing(viewer, message, "Session: can't be read")
+            return
+        try:
+            request, playing_at = messages.set_up(message, self.classes, self.settings)
+        except messages.BadRequestError as error:
+            self._mean_nothing(viewer, message, str(error))
+            return
+        known = self.seats.get(session)
+        if known is not None:
+            if playing_at is None:
+                self._doubled(viewer, message, known)
+            return
+        lane = message.fields[b"x-tier"]
+        seat = Seat(session, viewer, lane, request.title, message.body)
+        self.seats[session] = seat
+        if playing_at is None:
+            if len(viewer.open) >= OPEN_MOST:
+                del self.seats[session]
+                viewer.channel.send(messages.refused(session, self.settings.note_delay))
+                return
+            viewer.open[session] = seat
+        else:
+            seat.open = False
+            viewer.useful = True
+            viewer.standing[session] = seat
+        self.owner.asked(seat, request, playing_at)
+
+    def _doubled(self, viewer: Viewer, message: rtsp.Message, known: Seat) -> None:
+        """A second set-up under one id: who sent both is told so and closed, and gets neither."""
+        if known.viewer is viewer and known.open:
+            self.unreadable(viewer, "two requests under one id")
+        else:
+            self._mean_nothing(viewer, message, "Session: of another request")
+
+    # What viewers are told
+
+    def served(self, seat: Seat, description: bytes) -> bool:
+        """The session stands; False: its viewer can't be told."""
+        viewer = seat.viewer
+        if viewer is None or viewer.channel.closed:
+            return False
+        seat.open = False
+        viewer.open.pop(seat.session, None)
+        viewer.standing[seat.session] = seat
+        viewer.useful = True
+        viewer.channel.send(messages.served(seat.session, description))
+        return True
+
+    def turned_away(self, seat: Seat, wire: bytes) -> None:
+        """The final answer where the session does not stand."""
+        seat.open = False
+        if seat.viewer is not None:
+            seat.viewer.open.pop(seat.session, None)
+            seat.viewer.quiet_since = self.reactor.clock()
+            seat.viewer.channel.send(wire)
+
+    def tell(self, seat: Seat, wire: bytes) -> None:
+        """A release or a move: on the session's own connection, else on any that viewers use."""
+        viewer = seat.viewer
+        if viewer is None or viewer.channel.closed:
+            viewer = next((x for x in self.viewers if x.useful and not x.channel.closed), None)
+        if viewer is not None:
+            viewer.channel.send(wire)
+        else:
+            self._unsaid[seat.session] = (wire, self.reactor.clock() + 8.0)
+
+    def forget(self, seat: Seat) -> None:
+        """Nothing of this session is left."""
+        if self.seats.get(seat.session) is seat:
+            del self.seats[seat.session]
+        if seat.viewer is not None:
+            seat.viewer.open.pop(seat.session, None)
+            seat.viewer.standing.pop(seat.session, None)
+            seat.viewer.quiet_since = self.reactor.clock()
--- /dev/null
+++ b/otterglade/node/gateway.py
@@ -0,0 +1,258 @@
+"""One gateway: what comes in on its sockets goes to the core as events, the core's orders go out.
+
+Nothing is decided here. The orders of one event are carried out before the next event is told; an order may
+itself bring an event (a connection that can't be opened), which waits its turn.
+"""
+
+from __future__ import annotations
+
+import signal
+import socket
+from collections import deque
+from collections.abc import Callable
+
+from ..core import interface as api
+from ..core import setups
+from ..net.reactor import Reactor
+from ..wire import dns, rtsp
+from . import messages
+from .config import Config, ConfigError, load
+from .door import Door, Seat
+from .hosts import Attempt, Host, Hosts, Stands
+from .names import Names
+
+SWEEP = 0.25
+"""Seconds between two looks at what has been idle for too long."""
+SPARE = 24
+"""Descriptors kept for what is no connection: standard streams, epoll, sockets that listen, files."""
+HOSTS_PART = 3
+"""One in so many of the other descriptors is for connections to hosts, the rest for viewers."""
+STAY = 0.8
+"""Seconds after SIGTERM for which requests may still come."""
+
+
+class Gateway:
+    """The process's one loop and all that hangs on it."""
+
+    def __init__(self, config: Config, path: str, reactor: Reactor, say: Callable[[str], None]) -> None:
+        """Raises OSError where the address to listen on can't be had."""
+        self.config, self._path, self.reactor, self.say = config, path, reactor, say
+        settings = config.settings
+        self.setups = setups.Setups(settings, config.seed)
+        reactor.rang = self.setups.margin.rang
+        self._queue: deque[Callable[[float], list[setups.Order]]] = deque()
+        self._carrying = False
+        self._timer = 0.0
+        self._seats: dict[int, Seat] = {}
+        self._descriptions: dict[int, bytes] = {}
+        self._stopping: float | None = None
+        room = max(32, config.sockets - SPARE)
+        links = room // HOSTS_PART
+        self.hosts = Hosts(reactor, self, settings.connect_timeout, links, say)
+        self._event(self.setups.start)
+        self._list(config.hosts)
+        self.door = Door(reactor, config.listen, self, settings, config.classes, room - links, say)
+        self.names = Names(reactor, config.resolver, config.serial, lambda x: self._list(x.hosts), say)
+        reactor.at(reactor.clock() + SWEEP, self._sweep)
+
+    # Events and orders
+
+    def _event(self, call: Callable[[float], list[setups.Order]]) -> None:
+        """Tell the core something and carry out what it orders."""
+        self._queue.append(call)
+        if self._carrying:
+            return
+        self._carrying = True
+        try:
+            while self._queue:
+                for order in self._queue.popleft()(self.reactor.clock()):
+                    self._carry_out(order)
+        finally:
+            self._carrying = False
+        due = self.setups.next_due()
+        if due is not None and (self._timer <= 0.0 or due < self._timer):
+            self._timer = due
+            self.reactor.at(due, lambda: self._due(due))
+
+    def _due(self, when: float) -> None:
+        if when == self._timer:
+            self._timer = 0.0
+            self._event(self.setups.due)
+
+    def _carry_out(self, order: setups.Order) -> None:
+        match order:
+            case setups.Send():
+                self._send(order)
+            case setups.GiveUp(number, attempt, host, late):
+                self._give_up(number, attempt, host, late)
+            case setups.Serve(number):
+                seat = self._seats[number]
+                if not self.door.served(seat, self._descriptions.pop(number, b"")):
+                    self._event(lambda now: self.setups.gone(now, number))
+            case setups.Turn(number, come_back):
+                seat = self._seats[number]
+                self.door.turned_away(seat, messages.refused(seat.session, come_back))
+            case setups.Fault(number):
+                seat = self._seats[number]
+                self.door.turned_away(seat, messages.failed(seat.session))
+            case setups.Rung(number, host, rung):
+                self._at(host, lambda x: x.rung(self._seats[number].session, rung))
+            case setups.Cut(number, host):
+                self._at(host, lambda x: x.cut(self._seats[number].session))
+            case setups.Move(number, host):
+                seat = self._seats[number]
+                self.door.tell(seat, messages.move(seat.session))
+                self._at(host, lambda x: x.cut(seat.session, messages.move(seat.session)))
+            case setups.Release(number, outcome):
+                if outcome is not api.Outcome.CANCELLED:
+                    seat = self._seats[number]
+                    self.door.tell(seat, messages.release(seat.session, messages.CAUSES.get(outcome, 41)))
+            case setups.Over(number):
+                self._over(number)
+            case setups.Ask(host):
+                self._at(host, lambda x: x.test())
+            case setups.AskList():
+                self.names.ask()
+            case setups.Say(text):
+                self.say(text)
+
+    def _at(self, number: int, call: Callable[[Host], None]) -> None:
+        host = self.hosts.by_number.get(number)
+        if host is not None:
+            call(host)
+
+    def _send(self, order: setups.Send) -> None:
+        host, seat = self.hosts.by_number.get(order.host), self._seats[order.number]
+        number, attempt = order.number, order.attempt
+        if host is None:
+            self._event(lambda now: self.setups.ended(now, number, attempt, api.Outcome.REFUSED))
+            return
+        wire = messages.attempt(
+            seat.session, seat.lane, seat.title, seat.description, order.rung, order.time_out
+        )
+        host.set_up(Attempt(number, attempt, seat.session, wire))
+
+    def _give_up(self, number: int, attempt: int, server: int, late: bool) -> None:
+        host, seat = self.hosts.by_number.get(server), self._seats[number]
+        if host is not None and seat.session in host.attempts:
+            host.give_up(seat.session, late)
+            return
+        outcome = api.Outcome.TIMED_OUT if late else api.Outcome.CANCELLED
+        self._event(lambda now: self.setups.ended(now, number, attempt, outcome))
+
+    def _over(self, number: int) -> None:
+        seat = self._seats.pop(number)
+        self._descriptions.pop(number, None)
+        for host in self.hosts.by_number.values():
+            stands = host.standing.get(seat.session)
+            if stands is not None and stands.number == number:
+                host.let_go(seat.session)
+        self.door.forget(seat)
+
+    # From viewers
+
+    def asked(self, seat: Seat, request: api.SessionRequest, playing_at: str | None) -> None:
+        if playing_at is not None:
+            self._handed_over(seat, request, playing_at)
+            return
+
+        def told(now: float) -> list[setups.Order]:
+            number, orders = self.setups.request(now, request)
+            seat.number = number
+            self._seats[number] = seat
+            return orders
+
+        self._event(told)
+
+    def _handed_over(self, seat: Seat, request: api.SessionRequest, name: str) -> None:
+        number = self.setups.hosts.get(name)
+        host = None if number is None else self.hosts.by_number.get(number)
+        if host is None or host.gone:
+            # Its host is not in the list: nobody could tell its end, so it is over now.
+            self.door.tell(seat, messages.release(seat.session, 41))
+            self.door.forget(seat)
+            return
+
+        def told(now: float) -> list[setups.Order]:
+            session, orders = self.setups.handed_over(now, request, host.number)
+            seat.number = session
+            self._seats[session] = seat
+            host.hold(seat.session, Stands(session, 0, now))
+            return orders
+
+        self._event(told)
+
+    def left(self, seat: Seat) -> None:
+        if seat.number:
+            self._event(lambda now: self.setups.gone(now, seat.number))
+
+    # From hosts
+
+    def attempt_stands(self, number: int, attempt: int, description: bytes) -> None:
+        self._descriptions[number] = description
+        self._event(lambda now: self.setups.plays(now, number, attempt))
+
+    def attempt_ended(self, number: int, attempt: int, outcome: api.Outcome, load: api.Load | None) -> None:
+        self._event(lambda now: self.setups.ended(now, number, attempt, outcome, load))
+
+    def noted(self, server: int, number: int | None, message: rtsp.Message) -> None:
+        note = messages.note_of(message, server)
+        if isinstance(note, int):
+            rung = note
+            if number is not None:
+                self._event(lambda now: self.setups.rung_told(now, number, rung))
+        elif note is not None:
+            told = note
+            self._event(lambda now: self.setups.note(now, told))
+
+    def probed(self, server: int, outcome: api.Outcome, took: float, load: api.Load | None) -> None:
+        self._event(lambda now: self.setups.probed(now, server, outcome, took, load))
+
+    # From the name service
+
+    def _list(self, hosts: tuple[dns.HostRecord, ...]) -> None:
+        numbered = {self.setups.host(x.name): x for x in hosts}
+        self.hosts.listed({n: (x.name, (x.address, x.port), x.started / 1000.0) for n, x in numbered.items()})
+        zones, kinds = self.config.zones, self.config.kinds
+        entries = [messages.entry_of(x, n, zones, kinds) for n, x in numbered.items()]
+        self._event(lambda now: self.setups.listed(now, entries))
+
+    # Signals and time
+
+    def signalled(self, number: int) -> None:
+        if number == signal.SIGHUP:
+            self._reload()
+        elif self._stopping is None:
+            self._stopping = self.reactor.clock()
+            self.say("SIGTERM: answering what comes, then ending")
+
+    def _reload(self) -> None:
+        try:
+            config = load(self._path)
+        except ConfigError as error:
+            self.say(f"SIGHUP: the old configuration stays: {error}")
+            return
+        self.say(f"SIGHUP: name service at {config.resolver[0]}:{config.resolver[1]}")
+        self.config = config
+        self.names.move(config.resolver)
+
+    def _sweep(self) -> None:
+        now = self.reactor.clock()
+        self.reactor.at(now + SWEEP, self._sweep)
+        self.hosts.sweep()
+        self.door.sweep()
+        if self._stopping is not None and now > self._stopping + STAY and not self._owes():
+            self.reactor.stop()
+
+    def _owes(self) -> bool:
+        return any(x.open for x in self._seats.values())
+
+    def watch_signals(self, wakeup: socket.socket) -> None:
+        """Bytes on this socket are numbers of signals."""
+
+        def ready(events: int) -> None:
+            for number in wakeup.recv(64):
+                if number in (signal.SIGHUP, signal.SIGTERM):
+                    self.signalled(number)
+
+        self.reactor.watch(wakeup.fileno(), ready)
--- /dev/null
+++ b/otterglade/node/hosts.py
@@ -0,0 +1,514 @@
+"""Connections to media hosts: set-ups, what stands there, tests, and how it shows that a host is lost.
+
+A spoilt answer makes its connection useless, also for the other set-ups open on it. So a set-up gets a
+connection of its own while descriptors allow, and tests, rungs and releases go over another one, the host's
+control connection. Standing sessions belong to no connection: they are held by host, and what is heard of
+them counts on whichever connection it comes.
+"""
+
+from __future__ import annotations
+
+import os
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from ..core import interface as api
+from ..core.outcomes import Phase, Trouble, of_trouble
+from ..net.reactor import Address, Channel, Reactor
+from ..wire import rtsp
+from . import messages
+
+MESSAGES = 32
+"""Messages of one connection handled in a turn."""
+IDLE_KEPT = 2
+"""Idle connections kept beside the control connection of a host."""
+IDLE_FOR = 3.0
+"""Seconds after which an idle connection beyond those is closed."""
+SILENT_FOR = 2.5
+"""Seconds without a byte from a host that holds sessions, after which it is tried whether it still takes
+connections: a machine that vanished says nothing, and its sessions are to be released within 8 s."""
+FAILS_FOR = 2.5
+"""Seconds for which it takes none before its sessions are held to be lost."""
+TRY_AGAIN = 0.3
+"""Seconds between two such tries."""
+LINGER = 1.0
+"""Seconds for which an answer to a set-up that was given up is waited for, to release what it set up."""
+CALLED_OFF_KEPT = 1024
+"""Set-ups of one host that were given up, whose late answers are still known."""
+
+
+class Owner(Protocol):
+    """Who is told what hosts say."""
+
+    def attempt_stands(self, number: int, attempt: int, description: bytes) -> None: ...
+    def attempt_ended(
+        self, number: int, attempt: int, outcome: api.Outcome, load: api.Load | None
+    ) -> None: ...
+    def noted(self, server: int, number: int | None, message: rtsp.Message) -> None: ...
+    def probed(self, server: int, outcome: api.Outcome, took: float, load: api.Load | None) -> None: ...
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """A set-up that is out at a host."""
+
+    number: int
+    attempt: int
+    session: bytes
+    wire: bytes
+    link: Link | None = None
+    offset: int = 0
+    """Bytes of its connection that were queued before it."""
+    resent: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Stands:
+    """A session that stands at a host."""
+
+    number: int
+    attempt: int
+    since: float
+
+
+class Link:
+    """One connection to a host."""
+
+    def __init__(self, host: Host, time_out: float) -> None:
+        """Raises OSError where it can't be begun."""
+        self.host = host
+        self.reader = rtsp.Reader()
+        self.attempts: dict[bytes, Attempt] = {}
+        self.tests: dict[bytes, float] = {}
+        self.retired = False
+        """Takes nothing new; closed once nothing depends on it."""
+        self.used = host.pool.reactor.clock()
+        self.channel = Channel.open(host.pool.reactor, host.address, self, time_out)
+
+    def connected(self) -> None:
+        self.host.link_up(self)
+
+    def heard(self, data: bytes) -> bool:
+        self.host.heard_at = self.host.pool.reactor.clock()
+        try:
+            if data:
+                self.reader.feed(data)
+            for _ in range(MESSAGES):
+                message = self.reader.next()
+                if message is None:
+                    return False
+                self.host.message(self, message)
+                if self.channel.closed:
+                    return False
+        except rtsp.RtspError as error:
+            self.host.spoilt(self, str(error))
+            return False
+        return True
+
+    def ended(self, cause: str) -> None:
+        self.host.link_ended(self, cause)
+
+    def phase(self, attempt: Attempt) -> Phase:
+        if not self.channel.up:
+            return Phase.CONNECT
+        return Phase.SENT if self.channel.taken > attempt.offset else Phase.UNSENT
+
+
+class Host:
+    """One media host: its connections and what stands there."""
+
+    def __init__(self, pool: Hosts, number: int, name: str, address: Address) -> None:
+        self.pool, self.number, self.name, self.address = pool, number, name, address
+        self.started = 0.0
+        self.gone = False
+        self.links: list[Link] = []
+        self.control: Link | None = None
+        self.attempts: dict[bytes, Attempt] = {}
+        self.standing: dict[bytes, Stands] = {}
+        self.called_off: OrderedDict[bytes, float] = OrderedDict()
+        """Set-ups given up, and when: a late answer to one is released."""
+        self.owed: dict[bytes, None] = {}
+        """Releases for the next connection that comes up."""
+        self.heard_at = pool.reactor.clock()
+        self.failing: float | None = None
+        """Since when no connection has come up."""
+        self.try_at = 0.0
+
+    @property
+    def idle(self) -> bool:
+        return not (self.attempts or self.standing)
+
+    # Set-ups
+
+    def set_up(self, attempt: Attempt) -> None:
+        """Carry an attempt out; its end, or that it stands, is told to the owner."""
+        self.attempts[attempt.session] = attempt
+        self.called_off.pop(attempt.session, None)
+        self.owed.pop(attempt.session, None)
+        link = self._link_for_set_up()
+        if link is None:
+            # Not one descriptor to be had: nothing was sent.
+            self.pool.reactor.soon(lambda: self._never_sent(attempt))
+            return
+        attempt.link, attempt.offset = link, link.channel.queued
+        link.attempts[attempt.session] = attempt
+        link.used = self.pool.reactor.clock()
+        link.channel.send(attempt.wire)
+
+    def _never_sent(self, attempt: Attempt) -> None:
+        if self.attempts.get(attempt.session) is attempt and attempt.link is None:
+            self._over(attempt, api.Outcome.SKIPPED)
+
+    def _link_for_set_up(self) -> Link | None:
+        up = [x for x in self.links if not x.retired and not x.channel.closed]
+        for link in up:
+            if link is not self.control and link.channel.up and not link.attempts and not link.tests:
+                if not link.channel.stale():
+                    return link
+                link.retired = True  # its end is in the kernel already, and is heard with the next turn
+        if len(self.links) < self.pool.links_each() and self.pool.room():
+            opened = self._open()
+            if opened is not None:
+                return opened
+        up = [x for x in up if not x.retired and x.channel.up]
+        return min(up, key=lambda x: len(x.attempts), default=None) or self._open()
+
+    def _open(self) -> Link | None:
+        try:
+            link = Link(self, self.pool.connect_timeout)
+        except OSError as error:
+            self.pool.say(f"{self.name}: can't connect: {error}")
+            return None
+        self.links.append(link)
+        return link
+
+    def give_up(self, session: bytes, late: bool) -> None:
+        """Call an attempt off; its end is told to the owner."""
+        attempt = self.attempts.get(session)
+        if attempt is None:
+            return
+        link = attempt.link
+        trouble = Trouble.TIMED_OUT if late else Trouble.CANCELLED
+        if link is None or link.channel.closed:
+            self._over(attempt, of_trouble(Phase.CONNECT, trouble))
+            return
+        phase = link.phase(attempt)
+        outcome = of_trouble(phase, trouble)
+        del link.attempts[session]
+        if phase is Phase.SENT:
+            link.channel.send(messages.release(session, None))
+            self.called_off[session] = self.pool.reactor.clock()
+            if len(self.called_off) > CALLED_OFF_KEPT:
+                self.called_off.popitem(last=False)
+        if late:
+            link.retired = True  # an answer that never came: the connection may be of no further use
+        # What the kernel has not taken cannot be called off by a message behind it: the close does it, and
+        # the attempt is out no longer. Others on this connection are closed with it, as their set-ups are.
+        if link.channel.unsent:
+            link.channel.close()
+            self._gone_with(link, Trouble.BROKEN)
+            self._forget(link)
+        self._over(attempt, outcome)
+
+    def _over(self, attempt: Attempt, outcome: api.Outcome, load: api.Load | None = None) -> None:
+        if self.attempts.get(attempt.session) is attempt:
+            del self.attempts[attempt.session]
+        if attempt.link is not None:
+            attempt.link.attempts.pop(attempt.session, None)
+        self.pool.owner.attempt_ended(attempt.number, attempt.attempt, outcome, load)
+
+    # Sessions that stand
+
+    def hold(self, session: bytes, stands: Stands) -> None:
+        self.standing[session] = stands
+        self.ensure_control()
+
+    def cut(self, session: bytes, wire: bytes | None = None) -> None:
+        """End a session here, or what may be left of one. It stays held until its host tells the end."""
+        link = self._talk()
+        if link is None:
+            self.owed[session] = None
+            self.ensure_control()
+        else:
+            link.channel.send(wire or messages.release(session, 31))
+
+    def let_go(self, session: bytes) -> None:
+        """Nothing is waited for of a session any more."""
+        self.standing.pop(session, None)
+
+    def rung(self, session: bytes, number: int) -> None:
+        attempt = self.attempts.get(session)
+        link = attempt.link if attempt is not None else self._talk()
+        if link is None:
+            self.ensure_control()
+            link = self.control
+        if link is not None:
+            link.channel.send(messages.rung(session, number))
+
+    def _talk(self) -> Link | None:
+        """The connection for messages that belong to none."""
+        if self.control is not None and self.control.channel.up and not self.control.channel.closed:
+            return self.control
+        return next((x for x in self.links if x.channel.up and not x.channel.closed and not x.retired), None)
+
+    def ensure_control(self) -> None:
+        if self.control is None and not self.replaced and self.pool.reactor.clock() >= self.try_at:
+            self.control = self._open()
+
+    @property
+    def replaced(self) -> bool:
+        """Another host has this address now: no connection made to it would reach this one."""
+        return self.gone and self.pool.address_taken(self)
+
+    # Tests
+
+    def test(self) -> None:
+        """Ask for the load; the result is told to the owner."""
+        now = self.pool.reactor.clock()
+        self.ensure_control()
+        link = self.control
+        if link is None:
+            self.pool.reactor.soon(
+                lambda: self.pool.owner.probed(self.number, api.Outcome.REFUSED, 0.0, None)
+            )
+            return
+        session = os.urandom(8).hex().encode("ascii")
+        link.tests[session] = now
+        link.channel.send(messages.test(session))
+        self.pool.reactor.at(now + self.pool.connect_timeout, lambda: self._test_late(link, session))
+
+    def _test_late(self, link: Link, session: bytes) -> None:
+        sent = link.tests.pop(session, None)
+        if sent is not None:
+            took = self.pool.reactor.clock() - sent
+            outcome = api.Outcome.TIMED_OUT if link.channel.up else api.Outcome.REFUSED
+            self.pool.owner.probed(self.number, outcome, took, None)
+
+    # What is heard
+
+    def message(self, link: Link, message: rtsp.Message) -> None:
+        if message.status:
+            self._response(link, message)
+        elif message.method == b"TEARDOWN":
+            self._released(message)
+        elif message.method == b"ANNOUNCE":
+            stands = self.standing.get(message.session)
+            self.pool.owner.noted(self.number, stands.number if stands else None, message)
+
+    def _response(self, link: Link, message: rtsp.Message) -> None:
+        session, status = message.session, message.status
+        if status < 200:
+            return
+        sent = link.tests.pop(session, None)
+        if sent is not None:
+            took = self.pool.reactor.clock() - sent
+            outcome = api.Outcome.DONE if status == 200 else api.Outcome.ERROR
+            self.pool.owner.probed(self.number, outcome, took, messages.load_of(message))
+            return
+        attempt = link.attempts.get(session)
+        if attempt is None or message.fields.get(b"cseq") != b"1":
+            # An unknown id, a second copy, or a late answer to what was given up: only that one is acted on.
+            if status == 200 and message.fields.get(b"cseq") == b"1" and session in self.called_off:
+                del self.called_off[session]
+                self.cut(session)
+            return
+        if status != 200:
+            outcome = messages.ANSWERS.get(status, api.Outcome.ERROR)
+            self._over(attempt, outcome, messages.load_of(message))
+        elif not rtsp.is_description(message.body) or not link.reader.follows_well():
+            self.spoilt(link, "an answer whose description is not whole")
+        else:
+            del link.attempts[session], self.attempts[session]
+            self.hold(session, Stands(attempt.number, attempt.attempt, self.pool.reactor.clock()))
+            self.pool.owner.attempt_stands(attempt.number, attempt.attempt, message.body)
+
+    def _released(self, message: rtsp.Message) -> None:
+        session = message.session
+        attempt, stands = self.attempts.get(session), self.standing.pop(session, None)
+        if stands is not None:
+            outcome = messages.RELEASES.get(message.cause or 0, api.Outcome.RESET)
+            load = messages.load_of(message)
+            self.pool.owner.attempt_ended(stands.number, stands.attempt, outcome, load)
+        elif attempt is not None:
+            self._over(attempt, api.Outcome.RESET, messages.load_of(message))
+
+    # Ends of connections
+
+    def link_up(self, link: Link) -> None:
+        self.failing, self.try_at = None, 0.0
+        self.heard_at = self.pool.reactor.clock()
+        for session in self.owed:
+            link.channel.send(messages.release(session, 31))
+        self.owed.clear()
+
+    def spoilt(self, link: Link, why: str) -> None:
+        """Bytes that can't be read, or an answer that is not whole: nothing on this connection counts now."""
+        self.pool.say(f"{self.name}: {why}")
+        link.channel.close()
+        self._gone_with(link, Trouble.GARBAGE)
+        self._forget(link)
+
+    def link_ended(self, link: Link, cause: str) -> None:
+        trouble = {"refused": Trouble.REFUSED, "timed out": Trouble.TIMED_OUT}.get(cause, Trouble.BROKEN)
+        was_up = link.channel.up
+        self._gone_with(link, trouble)
+        self._forget(link)
+        if was_up:
+            if not self.idle:
+                self.ensure_control()
+            return
+        now = self.pool.reactor.clock()
+        if any(x.channel.up and not x.retired for x in self.links):
+            self.try_at = now + TRY_AGAIN
+            return  # it lives: it takes no further connection at present
+        if cause == "refused":
+            self.lost("takes no connections", silent=False)
+            return
+        self.failing = now if self.failing is None else self.failing
+        self.try_at = now + TRY_AGAIN
+
+    def _gone_with(self, link: Link, trouble: Trouble) -> None:
+        """Everything that was open on a connection ends with it."""
+        attempts, tests = list(link.attempts.values()), list(link.tests.values())
+        link.attempts.clear()
+        link.tests.clear()
+        now = self.pool.reactor.clock()
+        for attempt in attempts:
+            phase = link.phase(attempt)
+            if phase is Phase.SENT and (trouble is Trouble.GARBAGE or link.reader.held):
+                phase = Phase.ANSWER
+            if phase is Phase.UNSENT and not attempt.resent:
+                # The connection had ended before a byte of this set-up went out: the same attempt, once more.
+                attempt.resent, attempt.link = True, None
+                self.set_up(attempt)
+                continue
+            if phase is Phase.ANSWER or phase is Phase.SENT:
+                self._release_rest(attempt.session)
+            self._over(attempt, of_trouble(phase, trouble))
+        outcome = of_trouble(Phase.SENT if link.channel.up else Phase.CONNECT, trouble)
+        for sent in tests:
+            self.pool.owner.probed(self.number, outcome, now - sent, None)
+
+    def _release_rest(self, session: bytes) -> None:
+        """A set-up that may have run, whose answer is of no use: what it set up is not left standing."""
+        talk = self._talk()
+        if talk is not None:
+            talk.channel.send(messages.release(session, 31))
+        elif len(self.owed) < CALLED_OFF_KEPT:
+            self.owed[session] = None
+
+    def _forget(self, link: Link) -> None:
+        if link in self.links:
+            self.links.remove(link)
+        if self.control is link:
+            self.control = None
+
+    def lost(self, why: str, silent: bool) -> None:
+        """The host's process is gone, or held to be: what stood there is over."""
+        self.failing = None
+        standing, self.standing = self.standing, {}
+        if standing:
+            self.pool.say(f"{self.name}: {why}: {len(standing)} sessions are over")
+        for session, stands in standing.items():
+            if silent:
+                self.owed[session] = None  # should it only have been cut off
+            self.pool.owner.attempt_ended(stands.number, stands.attempt, api.Outcome.RESET, None)
+
+    def restarted(self, since: float) -> None:
+        """The list tells a start: what stood there before it is over."""
+        for session, stands in list(self.standing.items()):
+            if stands.since < since:
+                del self.standing[session]
+                self.pool.owner.attempt_ended(stands.number, stands.attempt, api.Outcome.RESET, None)
+
+    def close(self) -> None:
+        for link in list(self.links):
+            link.channel.close()
+            self._gone_with(link, Trouble.BROKEN)
+        self.links.clear()
+        self.control = None
+
+    # Now and then
+
+    def sweep(self, now: float) -> None:
+        """Close what is idle, and see to a host that holds sessions and says nothing."""
+        while self.called_off and next(iter(self.called_off.values())) < now - LINGER:
+            self.called_off.popitem(last=False)
+        spare = 0
+        for link in list(self.links):
+            if link.attempts or link.tests or link is self.control or now - link.used < LINGER:
+                continue
+            spare += not link.retired
+            if link.retired or (spare > IDLE_KEPT and now - link.used > IDLE_FOR):
+                link.channel.close()
+                self._forget(link)
+        if self.idle:
+            return
+        if self.replaced:
+            self.close()
+            self.lost("another host has its address", silent=False)
+        elif self.failing is not None and now - self.failing > FAILS_FOR:
+            self.lost("has been silent", silent=True)
+        elif self.control is None:
+            self.ensure_control()
+        elif now - self.heard_at > SILENT_FOR and now >= self.try_at and self.control.channel.up:
+            old, self.control = self.control, None
+            old.retired, old.used = True, now
+            self.try_at = now + TRY_AGAIN
+            self.control = self._open()
+
+
+class Hosts:
+    """All media hosts, by the core's numbers."""
+
+    def __init__(
+        self, reactor: Reactor, owner: Owner, connect_timeout: float, links: int, say: Callable[[str], None]
+    ) -> None:
+        """`links`: connections that all hosts together may have."""
+        self.reactor, self.owner, self.connect_timeout = reactor, owner, connect_timeout
+        self._links, self.say = links, say
+        self.by_number: dict[int, Host] = {}
+        self._at: dict[Address, int] = {}
+
+    def links_each(self) -> int:
+        return max(2, self._links // max(1, len(self.by_number)))
+
+    def room(self) -> bool:
+        return sum(len(x.links) for x in self.by_number.values()) < self._links
+
+    def address_taken(self, host: Host) -> bool:
+        return self._at.get(host.address, host.number) != host.number
+
+    def listed(self, hosts: dict[int, tuple[str, Address, float]]) -> None:
+        """The list now: name, address and start (Unix seconds, 0: long ago) by number."""
+        self._at = {address: number for number, (_, address, _) in hosts.items()}
+        for number, (name, address, started) in hosts.items():
+            host = self.by_number.get(number)
+            if host is None:
+                host = self.by_number[number] = Host(self, number, name, address)
+            elif host.address != address:
+                host.close()
+                host.lost("has another address", silent=False)
+                host.address = address
+            if started > host.started and host.started != started:
+                host.restarted(started)
+            host.gone, host.started = False, started
+        for number, host in list(self.by_number.items()):
+            if number not in hosts:
+                host.gone = True
+                host.heard_at = 0.0  # tried at once whether it still takes connections
+        self.sweep()
+
+    def sweep(self) -> None:
+        now = self.reactor.clock()
+        for number, host in list(self.by_number.items()):
+            host.sweep(now)
+            if host.gone and host.idle:
+                host.close()
+                del self.by_number[number]
+
+    def close(self) -> None:
+        for host in self.by_number.values():
+            host.close()
--- /dev/null
+++ b/otterglade/node/messages.py
@@ -0,0 +1,220 @@
+"""Between the platform's messages and the core's events and orders: a table a direction, checks, no state."""
+
+from __future__ import annotations
+
+import math
+import re
+from collections.abc import Sequence
+
+from ..core import interface as api
+from ..core.settings import MS
+from ..wire import rtsp
+from ..wire.dns import HostRecord
+
+EXCHANGE, PING, LOAD = b"rtsp://media/exchange", b"rtsp://media/ping", b"rtsp://media/load"
+TITLE = re.compile(rb"rtsp://media/([0-9a-f]{16})\Z")
+NUMBER = re.compile(rb"[0-9]{1,10}(?:\.[0-9]{1,6})?\Z")
+COUNT = re.compile(rb"[0-9]{1,4}\Z")
+HOST_NAME = re.compile(rb"[0-9A-Za-z][0-9A-Za-z-]{0,62}\Z")
+LOADED = re.compile(rb"([0-9A-Za-z_]+):([0-9]{1,9}(?:\.[0-9]{1,9})?)\Z")
+LONGEST = 4_294_967.296
+"""Seconds of a deadline or a hint that can be meant: 2**32 milliseconds; beyond that it is no figure."""
+
+ANSWERS = {453: api.Outcome.BUSY, 454: api.Outcome.SKIPPED, 504: api.Outcome.RESET}
+"""What a host's refusal of a set-up says; any other is an error."""
+RELEASES = {16: api.Outcome.DONE, 41: api.Outcome.RESET, 31: api.Outcome.CANCELLED}
+"""What the cause of a host's release says of a session that stood; any other counts as a reset."""
+CAUSES = {api.Outcome.DONE: 16, api.Outcome.CANCELLED: 31}
+"""The cause of a release towards a viewer; of all other ends it is 41."""
+PERCENT = 100.0
+
+
+class BadRequestError(ValueError):
+    """A set-up that means nothing; the text names the field."""
+
+
+def _number(value: bytes | None, field: str) -> float:
+    if value is None or not NUMBER.match(value):
+        raise BadRequestError(f"{field}: no number")
+    return float(value)
+
+
+def set_up(
+    message: rtsp.Message, classes: Sequence[str], settings: api.Settings
+) -> tuple[api.SessionRequest, str | None]:
+    """The request that a viewer's SETUP holds, and the host on which it plays already, if any.
+
+    Raises BadRequestError: what hosts or the module could not use stops here, as a host closes a connection
+    on what it can't read, whatever else is open on it.
+    """
+    title = TITLE.match(message.target)
+    if not title:
+        raise BadRequestError("address: no title")
+    if message.fields.get(b"cseq") != b"1":
+        raise BadRequestError("CSeq: 1 expected")
+    try:
+        lane = classes.index(message.fields.get(b"x-tier", b"").decode("latin-1"))
+    except ValueError:
+        raise BadRequestError("X-Tier: no such class") from None
+    patience = _number(message.fields.get(b"x-deadline"), "X-Deadline") / MS
+    if not 0 < patience <= LONGEST:
+        raise BadRequestError("X-Deadline: out of range")
+    hint = message.fields.get(b"expected-ms")
+    length = None if hint is None else _number(hint, "Expected-Ms") / MS
+    if length is not None and length > LONGEST:
+        raise BadRequestError("Expected-Ms: out of range")
+    if not rtsp.is_description(message.body):
+        raise BadRequestError("description: can't be read")
+    attrs = _attrs(message.fields.get(b"x-attrs"))
+    home, holders = _count(attrs, b"home"), _count(attrs, b"copies")
+    top = _count(attrs, b"top")
+    if home >= settings.cells:
+        raise BadRequestError("X-Attrs: home is out of range")
+    if not 1 <= holders <= settings.cells:
+        raise BadRequestError("X-Attrs: copies is out of range")
+    if top >= len(settings.ladder):
+        raise BadRequestError("X-Attrs: top is out of range")
+    where = attrs.get(b"at")
+    if where is not None and not HOST_NAME.match(where):
+        raise BadRequestError("X-Attrs: at names no host")
+    request = api.SessionRequest(
+        session=0, lane=lane, tenant=0, title=title[1].decode("ascii"), patience=patience, hint=length,
+        home=home, holders=holders, top=top, again=attrs.get(b"again") == b"1",
+    )  # fmt: skip
+    return request, where.decode("ascii") if where is not None else None
+
+
+def _attrs(text: bytes | None) -> dict[bytes, bytes]:
+    found: dict[bytes, bytes] = {}
+    for part in text.split(b";") if text else ():
+        name, sep, value = part.partition(b":")
+        if not sep or name in found:
+            raise BadRequestError("X-Attrs: can't be read")
+        found[name] = value
+    return found
+
+
+def _count(attrs: dict[bytes, bytes], name: bytes) -> int:
+    value = attrs.get(name, b"")
+    if not COUNT.match(value):
+        raise BadRequestError(f"X-Attrs: {name.decode('ascii')} is no number")
+    return int(value)
+
+
+def load_of(message: rtsp.Message) -> api.Load | None:
+    """A host's report; None: there is none, or none that can be read."""
+    text = message.fields.get(b"x-gauges")
+    if text is None:
+        return None
+    values = {}
+    for part in text.split(b";"):
+        found = LOADED.match(part.strip())
+        if not found:
+            return None
+        values[found[1]] = float(found[2])
+    link, uplink = values.get(b"x0"), values.get(b"x1")
+    return api.Load(
+        streams=values.get(b"rif"),
+        link=None if link is None else link / PERCENT,
+        uplink=None if uplink is None else uplink / PERCENT,
+    )
+
+
+def note_of(message: rtsp.Message, server: int) -> api.DeliveryNote | api.LoadNote | int | None:
+    """A host's note, a rung as its number; None: one that can't be read."""
+    kind, figure = message.fields.get(b"x-outcome"), message.fields.get(b"figure", b"")
+    if not NUMBER.match(figure):
+        return None
+    value = float(figure)
+    if kind == b"delivered":
+        return api.DeliveryNote(server, value)
+    if kind == b"rung":
+        return int(value)
+    if kind == b"link":
+        return api.LoadNote(server, api.Load(link=value))
+    return api.LoadNote(server, api.Load(uplink=value)) if kind == b"uplink" else None
+
+
+def entry_of(host: HostRecord, number: int, zones: Sequence[str], kinds: Sequence[str]) -> api.ServerEntry:
+    """A host of the list as the module knows it; a zone or kind that the settings don't name is the first."""
+    return api.ServerEntry(
+        server=number,
+        zone=zones.index(host.zone) if host.zone in zones else 0,
+        kind=kinds.index(host.kind) if host.kind in kinds else 0,
+        cell=host.cell,
+        state=api.State.DRAINING if host.draining else api.State.READY,
+        weight=host.weight,
+        started=host.started / MS,
+    )
+
+
+# Messages to viewers
+
+
+def served(session: bytes, description: bytes) -> bytes:
+    return rtsp.response(200, ((b"CSeq", b"1"), (b"Session", session)), description)
+
+
+def refused(session: bytes, come_back: float) -> bytes:
+    fields = [(b"CSeq", b"1"), (b"Session", session)]
+    if come_back > 0:
+        fields.append((b"X-Cooldown", b"%d" % math.ceil(come_back * MS)))
+    return rtsp.response(503, fields)
+
+
+def failed(session: bytes) -> bytes:
+    return rtsp.response(500, ((b"CSeq", b"1"), (b"Session", session)))
+
+
+def error(status: int, message: rtsp.Message | None = None) -> bytes:
+    """An error to a request that is not taken, or to bytes that are none."""
+    fields = [(b"CSeq", (message.fields.get(b"cseq") if message else None) or b"0")]
+    if message and message.session:
+        fields.append((b"Session", message.session))
+    return rtsp.response(status, fields)
+
+
+def heard(message: rtsp.Message) -> bytes:
+    """200 to a test or to a release."""
+    fields = [(b"CSeq", message.fields.get(b"cseq", b"0"))]
+    if message.session:
+        fields.append((b"Session", message.session))
+    return rtsp.response(200, fields)
+
+
+# Messages to both
+
+
+def release(session: bytes, cause: int | None) -> bytes:
+    """End a session that stands; without a cause: give a set-up up."""
+    fields = [(b"CSeq", b"2"), (b"Session", session)]
+    if cause is not None:
+        fields.append((b"Reason", b"cause=%d" % cause))
+    return rtsp.request(b"TEARDOWN", EXCHANGE, fields)
+
+
+def move(session: bytes) -> bytes:
+    return rtsp.request(b"REDIRECT", EXCHANGE, ((b"CSeq", b"4"), (b"Session", session)))
+
+
+# Messages to hosts
+
+
+def attempt(session: bytes, lane: bytes, title: str, description: bytes, rung: int, time_out: float) -> bytes:
+    fields = (
+        (b"CSeq", b"1"),
+        (b"Session", session),
+        (b"X-Tier", lane),
+        (b"X-Deadline", b"%d" % max(1, int(time_out * MS))),
+        (b"Rate-Step", b"%d" % rung),
+    )
+    return rtsp.request(b"SETUP", b"rtsp://media/" + title.encode("ascii"), fields, description)
+
+
+def rung(session: bytes, number: int) -> bytes:
+    fields = ((b"CSeq", b"5"), (b"Session", session), (b"Rate-Step", b"%d" % number))
+    return rtsp.request(b"SET_PARAMETER", EXCHANGE, fields)
+
+
+def test(session: bytes) -> bytes:
+    return rtsp.request(b"OPTIONS", LOAD, ((b"CSeq", b"3"), (b"Session", session)))
