X-Gauges are read as fractions: set-ups went to links that were full

Ruled out: delays (first attempt after 0.5 ms in the median), connections (no resets), rungs and releases (each one in the trace was acted on).

At fault: load_of in node/messages.py divided by 100, after the example in the protocol's page, so every host looked idle.

--- a/otterglade/node/messages.py
+++ b/otterglade/node/messages.py
@@ -26,7 +26,6 @@
 """What the cause of a host's release says of a session that stood; any other counts as a reset."""
 CAUSES = {api.Outcome.DONE: 16, api.Outcome.CANCELLED: 31}
 """The cause of a release towards a viewer; of all other ends it is 41."""
-PERCENT = 100.0
 
 
 class BadRequestError(ValueError):
@@ -102,7 +101,11 @@
 
 
 def load_of(message: rtsp.Message) -> api.Load | None:
-    """A host's report; None: there is none, or none that can be read."""
+    """A host's report; None: there is none, or none that can be read.
+
+    `x0` and `x1` come as they are in the simulator, asked over given: 1 is full, though
+    the example in the protocol's page looks like parts of a hundred.
+    """
     text = message.fields.get(b"x-gauges")
     if text is None:
         return None
@@ -112,12 +115,7 @@
         if not found:
             return None
         values[found[1]] = float(found[2])
-    link, uplink = values.get(b"x0"), values.get(b"x1")
-    return api.Load(
-        streams=values.get(b"rif"),
-        link=None if link is None else link / PERCENT,
-        uplink=None if uplink is None else uplink / PERCENT,
-    )
+    return api.Load(streams=values.get(b"rif"), link=values.get(b"x0"), uplink=values.get(b"x1"))
 
 
 def note_of(message: rtsp.Message, server: int) -> api.DeliveryNote | api.LoadNote | int | None:
