Three errors in a row open a host's breaker: one that failed at once drew all set-ups

Ruled out: the new configurations and restarts (lists were followed, every request answered, none in the log as lost), full hosts (9 refusals), time on the sockets (first attempt after 0.5 ms).

At fault: policy.py _ended counted only time-outs, resets and refused connections against a server. A host that fails at once holds nothing, so its C is least and each set-up goes to it first; paid ones are then lost, as an error is no proof. Now errors in a row without one good answer between are a sign for the breaker too, and a trial that fails keeps it open. It covers any host that runs but can't serve; it may do harm where viewers ask for what no host knows, until one asks well.

--- a/otterglade/core/policy.py
+++ b/otterglade/core/policy.py
@@ -24,6 +24,7 @@
 PAYBACK = 8.0  # a change of rung must earn this multiple of what it costs
 TRIES_IN_GOAL = 2.0  # a set-up is given up for another in time for so many tries within the goal
 COLD_PART = 0.5  # part of the pace at which a cold server falls that all gateways together may use
+ERRORS = 3  # errors in a row that are a sign too: one that fails at once looks idle and would draw all
 BREAK_BASE = 4.0  # connect time-outs for which a breaker first opens; doubled at each further sign
 ASKED = 3  # holders asked for one session
 ASK_AGE = 2.0  # note delays for which a reading is new enough
@@ -414,7 +415,7 @@
         session.playing, session.started = True, self.now
         if session.server.trips:
             self.out.append(api.Log(f"breaker closed: server {event.server}"))
-        session.server.trips, session.server.trial = 0, None
+        session.server.trips, session.server.trial, session.server.errors = 0, None, 0
 
     def _handed_over(self, event: api.SessionHandedOver) -> None:
         server, request = self.fleet.servers.get(event.server), event.request
@@ -429,7 +430,10 @@
         session, server = self.sessions.get(event.session), self.fleet.servers.get(event.server)
         if server is not None:
             self._loaded(server, event.load)
-            if event.outcome in DEAD:
+            server.errors += event.outcome is api.Outcome.ERROR
+            if event.outcome in DEAD or (
+                event.outcome is api.Outcome.ERROR and (server.trips or server.errors >= ERRORS)
+            ):  # Harm: viewers who ask for what no server knows count against servers, until one asks well
                 self._bad_sign(server)
             elif event.outcome is api.Outcome.BUSY:
                 server.full_until = self.now + self.s.note_delay * (1.0 + self.random.random())
--- a/otterglade/core/state.py
+++ b/otterglade/core/state.py
@@ -122,6 +122,8 @@
     next_turn: float = -math.inf
     open_until: float = -math.inf
     trips: int = 0
+    errors: int = 0
+    """Set-ups in a row that it answered with an error."""
     last_sign: float = -math.inf
     trial: int | None = None
     full_until: float = -math.inf
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -156,6 +156,33 @@
     assert later.count(server) == 1
 
 
+def test_a_server_that_answers_with_errors_alone_draws_no_more_set_ups() -> None:
+    """It fails at once, so it holds nothing and looks idle: without a guard each set-up goes to it first."""
+    controller = fleet()
+    controller.handle(1000.0, api.LoadNote(2, api.Load(link=0.0, uplink=0.2)))
+    failed = 0
+    for n in range(40):
+        now = 1000.1 + n / 50
+        (server,) = sent(controller.handle(now, request(n, lane=1, title=f"t{n}")))
+        if server == 2:
+            failed += 1
+            controller.handle(now, ended(n, 2, api.Outcome.ERROR))
+        else:
+            controller.handle(now, api.SessionPlays(n, server, 0, 0.01))
+    assert failed == 3
+
+
+def test_errors_between_good_answers_open_no_breaker() -> None:
+    controller = fleet(SITE, entry(0))
+    for n in range(30):
+        now = 1000.1 + n / 50
+        assert sent(controller.handle(now, request(n, lane=1, title=f"t{n}"))) == [0]
+        bad = n % 3 != 0
+        told = ended(n, 0, api.Outcome.ERROR) if bad else api.SessionPlays(n, 0, 0, 0.01)
+        controller.handle(now, told)
+    assert not controller.fleet.servers[0].trips
+
+
 def test_identical_events_give_identical_actions() -> None:
     def run() -> list[api.Action]:
         controller = fleet()
