--- a/tests/platform.py
+++ b/tests/platform.py
@@ -77,6 +77,8 @@
         self.sock, self._inbox = sock, inbox
         self.ended = threading.Event()
         self.raw = bytearray()
+        with contextlib.suppress(OSError):  # it may be reset already
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         threading.Thread(target=self._read, daemon=True).start()
 
     def _read(self) -> None:
