Hosts that went are forgotten beyond 256: ever new ids filled the module's books

Ruled out as growing: requests, timers and the module's sessions (3,000 sessions come and go in a test and leave nothing).

Now Fleet forgets servers that are gone and hold nothing, the first known first, beyond 256, and Setups the names of those.

--- a/otterglade/core/setups.py
+++ b/otterglade/core/setups.py
@@ -167,6 +167,7 @@
         self.margin = Margin()
         self.open: dict[int, Setup] = {}
         self.hosts: dict[str, int] = {}
+        self._next_host = 0
         self._entries: dict[int, api.ServerEntry] = {}
         self._last = 0
         self._timers: list[tuple[float, int, int, int]] = []
@@ -178,7 +179,11 @@
 
     def host(self, name: str) -> int:
         """The number of a host; the same as long as it is known."""
-        return self.hosts.setdefault(name, len(self.hosts))
+        number = self.hosts.get(name)
+        if number is None:
+            number = self.hosts[name] = self._next_host
+            self._next_host += 1
+        return number
 
     def listed(self, now: float, entries: Iterable[api.ServerEntry]) -> list[Order]:
         """The whole list of hosts. The module is told what has changed: whoever a list omits is gone."""
@@ -193,7 +198,12 @@
         self._entries = fresh
         if first:
             return self._tell(now, api.ServerList(tuple(fresh.values()), complete=True, cached=True))
-        return self._tell(now, api.ServerList(tuple(changed), complete=False)) if changed else []
+        if not changed:
+            return []
+        orders = self._tell(now, api.ServerList(tuple(changed), complete=False))
+        known = self.controller.fleet.servers
+        self.hosts = {name: n for name, n in self.hosts.items() if n in known or n in fresh}
+        return orders
 
     # Requests
 
--- a/otterglade/core/state.py
+++ b/otterglade/core/state.py
@@ -9,6 +9,7 @@
 
 from . import interface as api
 
+GONE_KEPT = 256  # servers that have left the list and are still known, should they come back
 KEEP = 60.0  # seconds that amounts are kept: longer than any look back
 
 
@@ -185,6 +186,7 @@
             if entry.state is api.State.READY and entry.started > 0:
                 restarted.append(server)
             server.entry = entry
+        self._forget()
         self.ready = [x for x in self.servers.values() if x.entry.state is api.State.READY]
         self.cells = {}
         for server in self.ready:
@@ -193,6 +195,12 @@
         self.mean_link = _mean(x.link.size for x in self.ready)
         return restarted
 
+    def _forget(self) -> None:
+        """Servers that are gone end here, the first known first: ever new ones would fill the memory."""
+        gone = [x for x in self.servers.values() if x.entry.state is api.State.GONE and not x.sessions]
+        for server in gone[: max(0, len(gone) - GONE_KEPT)]:
+            del self.servers[server.entry.server]
+
     def _server(self, entry: api.ServerEntry) -> Server:
         known, s = self.servers.get(entry.server), self.settings
         if known is not None and entry.started <= known.entry.started:
--- a/tests/test_setups.py
+++ b/tests/test_setups.py
@@ -196,3 +196,29 @@
     assert not only(s.due(101.0 + setups.CUT_HEARD / 2), setups.Over)
     assert only(s.due(101.0 + setups.CUT_HEARD + 0.01), setups.Over)
     assert not s.open and not s.controller.sessions
+
+
+def test_ever_new_hosts_fill_no_memory() -> None:
+    """Hosts are replaced all day under new ids: what is known of those that went has a bound."""
+    s = made()
+    for n in range(2000):
+        number = s.host(f"h{n}")
+        s.listed(101.0 + n, [entry(number)])
+    assert len(s.hosts) < 300 and len(s.controller.fleet.servers) < 300
+    assert s.host("h1999") == number and s.host("h0") not in s.controller.fleet.servers
+
+
+def test_ever_new_sessions_leave_nothing() -> None:
+    s = made()
+    for n in range(3000):
+        now = 101.0 + n / 50
+        number, orders = s.request(now, terms(n % 2))
+        if only(orders, setups.Send):
+            s.plays(now, number, 0)
+            s.ended(now + 0.01, number, 0, api.Outcome.DONE)
+        s.due(now + 0.01)
+    s.due(1000.0)
+    assert not s.open and not s.controller.sessions and len(s._timers) < 5
+    assert all(
+        not x.link.sessions and len(x.link.changes.times) < 9000 for x in s.controller.fleet.servers.values()
+    )
