A descriptor given out again in one turn hears no event of its predecessor

Seen on reading net/reactor.py against epoll: events of one poll are worked off by number. Where a channel is closed and a connection opened in the same turn, the new one gets the number and the old one's event; Channel took it for "up" before it was. It was not seen in a log.

At fault: Reactor.turn looked the number up alone; now numbers watched since the poll are passed over, and told again by the next poll.

--- a/otterglade/net/reactor.py
+++ b/otterglade/net/reactor.py
@@ -56,6 +56,7 @@
         self._order = itertools.count()
         self._waiting: dict[Channel, None] = {}
         self._soon: list[Callable[[], None]] = []
+        self._fresh: set[int] = set()
         self._running = True
         self.finishing = 0
         """Channels that were told to finish and still hold a descriptor."""
@@ -64,6 +65,7 @@
         """Have `call` told of events on a descriptor. Raises OSError where it can't be watched."""
         self._epoll.register(fd, events)
         self._watched[fd] = call
+        self._fresh.add(fd)
 
     def change(self, fd: int, events: int) -> None:
         self._epoll.modify(fd, events)
@@ -97,9 +99,12 @@
         wait = min(longest, self._timers[0][0] - self.clock()) if self._timers else longest
         if self._waiting or self._soon:
             wait = 0.0
+        self._fresh.clear()
         for fd, events in self._epoll.poll(max(0.0, wait), 4096):
             call = self._watched.get(fd)
-            if call is not None:
+            # A number that was closed and given out again in this turn: the event was its predecessor's, and
+            # a connection that is only being opened would be taken for one that is up.
+            if call is not None and fd not in self._fresh:
                 call(events)
         soon, self._soon = self._soon, []
         for call_soon in soon:
--- a/otterglade/node/gateway.py
+++ b/otterglade/node/gateway.py
@@ -46,12 +46,12 @@
         self._seats: dict[int, Seat] = {}
         self._descriptions: dict[int, bytes] = {}
         self._stopping: float | None = None
-        room = max(32, config.sockets - SPARE)
-        links = room // HOSTS_PART
+        self._room = max(32, config.sockets - SPARE)
+        self._links = links = self._room // HOSTS_PART
         self.hosts = Hosts(reactor, self, settings.connect_timeout, links, say)
         self._event(self.setups.start)
         self._list(config.hosts)
-        self.door = Door(reactor, config.listen, self, settings, config.classes, room - links, say)
+        self.door = Door(reactor, config.listen, self, settings, config.classes, self._room - links, say)
         self.names = Names(reactor, config.resolver, config.serial, lambda x: self._list(x.hosts), say)
         reactor.at(reactor.clock() + SWEEP, self._sweep)
 
@@ -240,6 +240,8 @@
         now = self.reactor.clock()
         self.reactor.at(now + SWEEP, self._sweep)
         self.hosts.sweep()
+        # Many hosts with a control connection each may need more than their part.
+        self.door.most = self._room - max(self._links, self.hosts.count())
         self.door.sweep()
         if self._stopping is not None and now > self._stopping + STAY and not self._owes():
             self.reactor.stop()
--- a/otterglade/node/hosts.py
+++ b/otterglade/node/hosts.py
@@ -476,8 +476,12 @@
     def links_each(self) -> int:
         return max(2, self._links // max(1, len(self.by_number)))
 
+    def count(self) -> int:
+        """Connections to all hosts."""
+        return sum(len(x.links) for x in self.by_number.values())
+
     def room(self) -> bool:
-        return sum(len(x.links) for x in self.by_number.values()) < self._links
+        return self.count() < self._links
 
     def address_taken(self, host: Host) -> bool:
         return self._at.get(host.address, host.number) != host.number
