A host's answer that stops short is spoilt after 0.25 s, and swallows no release

At fault: Link.heard in node/hosts.py waited for the rest of a message without a limit. Now 0.25 s; and after a spoilt or reset connection, or one whose answer is overdue, the host gets a new one, on which it can say what it could not.

--- a/otterglade/node/hosts.py
+++ b/otterglade/node/hosts.py
@@ -35,6 +35,12 @@
 """Seconds between two such tries."""
 LINGER = 1.0
 """Seconds for which an answer to a set-up that was given up is waited for, to release what it set up."""
+STOPPED_FOR = 0.25
+"""Seconds for which the rest of a message may be waited for. What stops short takes with it all that comes
+behind it: releases of other sessions would be read as the rest of its body."""
+OVERDUE = 0.4
+"""Seconds without an answer to a set-up, after which its connection may be of no further use: another one is
+opened, on which the host can send what it could not send there."""
 CALLED_OFF_KEPT = 1024
 """Set-ups of one host that were given up, whose late answers are still known."""
 
@@ -85,6 +91,8 @@
         self.retired = False
         """Takes nothing new; closed once nothing depends on it."""
         self.used = host.pool.reactor.clock()
+        self.partial_since: float | None = None
+        self.overdue = False
         self.channel = Channel.open(host.pool.reactor, host.address, self, time_out)
 
     def connected(self) -> None:
@@ -98,7 +106,9 @@
             for _ in range(MESSAGES):
                 message = self.reader.next()
                 if message is None:
+                    self._note_rest()
                     return False
+                self.partial_since = None
                 self.host.message(self, message)
                 if self.channel.closed:
                     return False
@@ -107,6 +117,18 @@
             return False
         return True
 
+    def _note_rest(self) -> None:
+        """Part of a message is there: its rest is waited for, not for long."""
+        reactor = self.host.pool.reactor
+        if self.reader.held and self.partial_since is None:
+            self.partial_since = reactor.clock()
+            reactor.at(self.partial_since + STOPPED_FOR, self._stopped_short)
+
+    def _stopped_short(self) -> None:
+        since, now = self.partial_since, self.host.pool.reactor.clock()
+        if not self.channel.closed and since is not None and now - since >= STOPPED_FOR:
+            self.host.spoilt(self, "a message that stops short")
+
     def ended(self, cause: str) -> None:
         self.host.link_ended(self, cause)
 
@@ -349,6 +371,14 @@
         link.channel.close()
         self._gone_with(link, Trouble.GARBAGE)
         self._forget(link)
+        self._renew()
+
+    def _renew(self) -> None:
+        """Open a connection on which the host can tell what it could not, or not so that it was heard."""
+        if self.standing and not self.replaced and self.pool.reactor.clock() >= self.try_at:
+            link = self._open()
+            if self.control is None:
+                self.control = link
 
     def link_ended(self, link: Link, cause: str) -> None:
         trouble = {"refused": Trouble.REFUSED, "timed out": Trouble.TIMED_OUT}.get(cause, Trouble.BROKEN)
@@ -356,7 +386,9 @@
         self._gone_with(link, trouble)
         self._forget(link)
         if was_up:
-            if not self.idle:
+            if cause == "reset":
+                self._renew()
+            elif not self.idle:
                 self.ensure_control()
             return
         now = self.pool.reactor.clock()
@@ -446,6 +478,11 @@
                 self._forget(link)
         if self.idle:
             return
+        for attempt in list(self.attempts.values()):
+            on = attempt.link
+            if on is not None and not on.overdue and on.channel.up and now - on.used > OVERDUE:
+                on.overdue = True
+                self._renew()
         if self.replaced:
             self.close()
             self.lost("another host has its address", silent=False)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -180,6 +180,62 @@
             viewer.wait(session, within=0.3)
 
 
+def test_a_session_handed_over_at_an_unknown_host_is_over_at_once(tmp_path: Path) -> None:
+    with platform(tmp_path, hosts=1) as p:
+        viewer = p.viewer()
+        attrs = b"home:0;copies:3;top:2;viewer:00000000b4d65521;at:nobody"
+        assert viewer.wait(viewer.set_up(attrs=attrs, deadline=b"4294967"), within=1.0).cause == 41
+
+
+def test_host_and_viewer_end_a_session_at_once(tmp_path: Path) -> None:
+    """Each tells its end while the other's is on its way: the session is over once, its place is free."""
+    with platform(tmp_path, hosts=1, family_info__seats=[0, 1]) as p:
+        viewer, host = p.viewer(), p.hosts["h0"]
+        for _ in range(10):
+            session = viewer.set_up(b"paid")
+            assert viewer.wait(session).status == 200, "the seat of the one before is free"
+            got = host.wait(b"SETUP")
+            exchange = b"rtsp://media/exchange"
+            over = [(b"CSeq", b"2"), (b"Session", session), (b"Reason", b"cause=16")]
+            got.connection.send(rtsp.request(b"TEARDOWN", exchange, over))
+            viewer.connection.send(rtsp.request(b"TEARDOWN", exchange, over))
+            viewer.connection.send(ping(session))
+            until = time.time() + WAIT
+            while (heard := viewer.got.get(timeout=until - time.time()).message).fields.get(b"cseq") != b"3":
+                assert heard.method == b"TEARDOWN" or heard.status == 200
+            time.sleep(0.05)  # the host's word may still be on its way
+        assert p.process is not None and p.process.poll() is None
+
+
+def test_a_viewer_whose_own_connection_is_gone_is_told_on_another(tmp_path: Path) -> None:
+    with platform(tmp_path, hosts=1) as p:
+        first, second, host = p.viewer(), p.viewer(), p.hosts["h0"]
+        session = first.set_up()
+        assert first.wait(session).status == 200
+        other = second.set_up()
+        assert second.wait(other).status == 200
+        first.connection.close()
+        got = host.wait(b"SETUP")
+        release = [(b"CSeq", b"2"), (b"Session", session), (b"Reason", b"cause=16")]
+        got.connection.send(rtsp.request(b"TEARDOWN", b"rtsp://media/exchange", release))
+        assert second.wait(session, within=1.0).cause == 16
+
+
+def test_hundreds_of_set_ups_at_once_on_one_connection_keep_nobody_waiting(tmp_path: Path) -> None:
+    with platform(tmp_path) as p:
+        flood, usual = p.viewer(), p.viewer()
+        wire = b"".join(set_up(fresh()) for _ in range(600))
+        threading.Thread(target=flood.connection.send, args=(wire,), daemon=True).start()
+        flood.got.get(timeout=WAIT)
+        began = time.time()
+        assert usual.wait(usual.set_up(), within=1.0).status in (200, 503)
+        assert time.time() - began < 0.5
+        answered = 1
+        while answered < 600:
+            assert flood.got.get(timeout=WAIT).message.status in (200, 503)
+            answered += 1
+
+
 # Paid set-ups, and proof that none ran
 
 
@@ -320,6 +376,34 @@
         assert two != one
 
 
+def test_an_answer_that_stops_short_swallows_no_release(tmp_path: Path) -> None:
+    """What comes behind it would be read as the rest of its body, until the set-up's time is up: it is held
+    to be spoilt soon, and the host gets a new connection for what it has to say."""
+    first = threading.Event()
+
+    def act(got: Got) -> None:
+        if got.message.method == b"SETUP" and first.is_set():
+            got.connection.send(_length(got, len(ANSWER) + 2000))
+        elif got.message.method == b"SETUP":
+            good(got)
+
+    with platform(tmp_path, hosts=1, act=act) as p:
+        viewer, host = p.viewer(), p.hosts["h0"]
+        session = viewer.set_up()
+        assert viewer.wait(session).status == 200
+        first.set()
+        known = len(host.connections)
+        stuck = viewer.set_up(b"paid")
+        began = time.time()
+        assert viewer.wait(stuck).status == 500 and time.time() - began < 1.0
+        with host.new:
+            while len(host.connections) == known:
+                assert host.new.wait(1.0), "no new connection"
+        release = [(b"CSeq", b"2"), (b"Session", session), (b"Reason", b"cause=16")]
+        host.connections[-1].send(rtsp.request(b"TEARDOWN", b"rtsp://media/exchange", release))
+        assert viewer.wait(session, within=1.0).cause == 16
+
+
 def test_more_than_belongs_to_an_answer_is_ignored(tmp_path: Path) -> None:
     def act(got: Got) -> None:
         if got.message.method == b"SETUP":
--- a/tests/test_setups.py
+++ b/tests/test_setups.py
@@ -222,3 +222,23 @@
     assert all(
         not x.link.sessions and len(x.link.changes.times) < 9000 for x in s.controller.fleet.servers.values()
     )
+
+
+def test_a_move_ends_the_session_at_its_host_and_tells_no_release() -> None:
+    s = made()
+    number, _ = s.handed_over(100.0, terms(), 0)
+    s._carry(100.0, [api.MoveSession(number), api.MoveSession(number)])
+    assert len(only(s._done(), setups.Move)) == 1
+    orders = s.ended(100.1, number, 0, api.Outcome.CANCELLED)
+    assert not only(orders, setups.Release) and only(orders, setups.Over) and not s.open
+
+
+def test_a_request_that_the_module_holds_for_ever_is_failed_in_time() -> None:
+    """Rule 1 holds though a timer of the module should be lost."""
+    s = made()
+    number, _ = s.request(100.0, terms(FREE, 1.0))
+    s.ended(100.0, number, 0, api.Outcome.SKIPPED)
+    s.open[number].stage = setups.Stage.WAITING
+    orders = s.due(101.0)
+    assert len(only(orders, setups.Fault)) + len(only(orders, setups.GiveUp)) == 1
+    assert number not in s.open or s.open[number].stage is setups.Stage.OUT
