--- a/otterglade/node/__main__.py
+++ b/otterglade/node/__main__.py
@@ -24,15 +24,13 @@
     from .config import ConfigError, load
     from .gateway import Gateway
 
-    began = time.monotonic()
-    base = time.time() - began
-    log_lines = 0
+    began, lines = time.monotonic(), 0
 
     def say(text: str) -> None:
-        nonlocal log_lines
-        log_lines += 1
-        if log_lines <= LOG_MOST:
-            print(f"{time.time() - base - began:.3f} {text}", file=sys.stderr, flush=True)
+        nonlocal lines
+        lines += 1
+        if lines <= LOG_MOST:
+            print(f"{time.monotonic() - began:.3f} {text}", file=sys.stderr, flush=True)
 
     path = os.environ.get("BALANCER_CONFIG", "")
     try:
--- a/otterglade/node/door.py
+++ b/otterglade/node/door.py
@@ -120,10 +120,7 @@
         self.counts = Counts()
         self._unsaid: dict[bytes, tuple[bytes, float]] = {}
         """Releases for which no viewer's connection was open, and until when they are owed."""
-        self._listener = Listener(reactor, address, self._newcomer)
-
-    def stop_listening(self) -> None:
-        self._listener.close()
+        Listener(reactor, address, self._newcomer)
 
     # Connections
 
--- a/otterglade/node/messages.py
+++ b/otterglade/node/messages.py
@@ -11,7 +11,7 @@
 from ..wire import rtsp
 from ..wire.dns import HostRecord
 
-EXCHANGE, PING, LOAD = b"rtsp://media/exchange", b"rtsp://media/ping", b"rtsp://media/load"
+EXCHANGE, LOAD = b"rtsp://media/exchange", b"rtsp://media/load"
 TITLE = re.compile(rb"rtsp://media/([0-9a-f]{16})\Z")
 NUMBER = re.compile(rb"[0-9]{1,10}(?:\.[0-9]{1,6})?\Z")
 COUNT = re.compile(rb"[0-9]{1,4}\Z")
