More hard cases have a test: new resets, hosts not up, forged and silent name service

The list of hard cases had some without a test: a release before the answer, connections reset when new, a host on which no connection comes up with a paid set-up, a refusal at once with X-Cooldown, a name-service answer from an address that was not asked, and three seconds of its silence. All hold; no code had to change.

--- a/tests/platform.py
+++ b/tests/platform.py
@@ -133,6 +133,7 @@
         self.all: list[Got] = []
         self.connections: list[Connection] = []
         self.new = threading.Condition()
+        self.reset_new = False
         self.vanished, self.parked = False, threading.Event()
         self._held: list[socket.socket] = []
         self._sock = socket.create_server(address, backlog=200)
@@ -149,6 +150,10 @@
                 self._held.append(sock)
                 self.parked.set()
                 return
+            if self.reset_new:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                sock.close()
+                continue
             connection = Connection(sock, self._hear)
             with self.new:
                 self.connections.append(connection)
@@ -230,6 +235,7 @@
         self._sock.bind(("127.0.0.1", 0))
         self.address: tuple[str, int] = self._sock.getsockname()
         self.serial = 1
+        self.peer = ("", 0)
         self.hosts: dict[str, tuple[tuple[str, int], int, bool]] = {}
         self.spoil: Callable[[bytes, bytes], bytes | None] = lambda query, answer: answer
         self.asked = threading.Semaphore(0)
@@ -241,6 +247,7 @@
                 query, peer = self._sock.recvfrom(2048)
                 if not query:
                     return
+                self.peer = peer
                 answer = self.spoil(query, dns_answer(query, self.serial, dict(self.hosts)))
                 if answer is not None:
                     self._sock.sendto(answer, peer)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -285,6 +285,47 @@
         assert set_ups(p) == 1
 
 
+def test_a_release_before_the_answer_is_an_end_that_proves_nothing(tmp_path: Path) -> None:
+    def act(got: Got) -> None:
+        if got.message.method == b"SETUP":
+            over = [*fields(got.message, b"2"), (b"Reason", b"cause=41")]
+            got.connection.send(rtsp.request(b"TEARDOWN", b"rtsp://media/exchange", over))
+
+    with platform(tmp_path, act=act) as p:
+        viewer = p.viewer()
+        assert viewer.wait(viewer.set_up(b"paid"), within=1.0).status == 500 and set_ups(p) == 1
+
+
+def test_a_connection_that_is_reset_when_new_costs_no_paid_set_up_twice(tmp_path: Path) -> None:
+    """Reset with the first message or before: sent again only where not one byte of it was taken."""
+    with platform(tmp_path) as p:
+        for host in p.hosts.values():
+            host.reset_new = True
+        viewer = p.viewer()
+        for _ in range(6):
+            session = viewer.set_up(b"paid")
+            status = viewer.wait(session).status
+            went = sum(x.message.session == session for host in p.hosts.values() for x in host.all)
+            assert status in (500, 503) and went <= 1
+
+
+def test_a_connection_that_never_comes_up_proves_that_nothing_ran(tmp_path: Path) -> None:
+    with platform(tmp_path, hosts=2) as p:
+        p.hosts["h0"].vanish()
+        viewer = p.viewer()
+        answers = [viewer.wait(viewer.set_up(b"paid")).status for _ in range(3)]
+        assert set(answers) <= {200, 503} and 200 in answers
+
+
+def test_given_up_is_told_at_once_with_when_to_come_back(tmp_path: Path) -> None:
+    with platform(tmp_path, act=refuse(453)) as p:
+        viewer = p.viewer()
+        began = time.time()
+        answer = viewer.wait(viewer.set_up(b"paid"))
+        assert answer.status == 503 and time.time() - began < 0.5
+        assert 0 < int(answer.fields[b"x-cooldown"]) <= 1000
+
+
 def test_a_late_answer_is_released_and_never_used(tmp_path: Path) -> None:
     with platform(tmp_path, hosts=1, act=lambda got: None) as p:
         viewer, host = p.viewer(), p.hosts["h0"]
@@ -562,6 +603,39 @@
         assert p.hosts["h1"].count(b"SETUP") == 0
 
 
+def test_an_answer_from_another_address_is_not_read(tmp_path: Path) -> None:
+    with platform(tmp_path, hosts=2) as p:
+        forger = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        forger.bind(("127.0.0.1", 0))
+        none_left = p.names.serial + 50
+
+        def spoil(query: bytes, answer: bytes) -> bytes:
+            forger.sendto(dns_answer(query, none_left, {}), p.names.peer)
+            return answer
+
+        p.names.spoil = spoil
+        p.names.wait_asked(4)
+        viewer = p.viewer()
+        assert viewer.wait(viewer.set_up()).status == 200
+        forger.close()
+
+
+@pytest.mark.long
+def test_after_three_seconds_of_silence_the_list_is_there_at_once(tmp_path: Path) -> None:
+    with platform(tmp_path, hosts=2) as p:
+        until = time.time() + 3.0
+        p.names.spoil = lambda query, answer: answer if time.time() > until else None
+        p.list(without=("h1",))
+        while time.time() < until:
+            p.names.wait_asked(1)
+        p.names.wait_asked(2)
+        assert time.time() < until + 1.5  # by then what a good answer would have told counts as told
+        viewer = p.viewer()
+        for _ in range(6):
+            assert viewer.wait(viewer.set_up()).status == 200
+        assert p.hosts["h1"].count(b"SETUP") == 0
+
+
 def test_an_older_list_is_never_applied(tmp_path: Path) -> None:
     with platform(tmp_path, hosts=2) as p:
         both = dict(p.names.hosts)
