A question on a name-service socket opened anew is remembered

Seen on reading Names.ask: it noted the question's id first and then opened a missing socket, which forgets all ids; the answer to that very question was passed over, and the list came 0.15 s later with the next one. It is not in a log: it takes a socket that could not be opened before. At fault: the order of the two steps. The test fails without the change.

--- a/otterglade/node/names.py
+++ b/otterglade/node/names.py
@@ -71,12 +71,12 @@
 
     def ask(self) -> None:
         """Ask now, beside the usual questions."""
+        if self._sock is None:
+            self._open()  # forgets what was asked before
         number = int.from_bytes(os.urandom(2), "big")
         self._asked[number] = None
         while len(self._asked) > KEPT:
             self._asked.popitem(last=False)
-        if self._sock is None:
-            self._open()
         if self._sock is not None:
             try:
                 self._sock.send(dns.query(number, NAME))
--- a/tests/test_node_hosts.py
+++ b/tests/test_node_hosts.py
@@ -13,9 +13,10 @@
 from otterglade.net.reactor import Reactor
 from otterglade.node import messages
 from otterglade.node.hosts import Attempt, Host, Hosts
+from otterglade.node.names import Names
 from otterglade.wire import rtsp
 
-from .platform import ANSWER, DESCRIPTION, Got, fields, fresh, platform, set_up
+from .platform import ANSWER, DESCRIPTION, Got, NameService, fields, fresh, platform, set_up
 
 
 class Told:
@@ -104,6 +105,23 @@
         one.close()
 
 
+def test_a_question_sent_on_a_socket_opened_anew_is_remembered() -> None:
+    """The first question after the name service could not be reached: its answer is read like any other."""
+    service, reactor, told = NameService(), Reactor(), []
+    service.hosts = {"h0": (("127.0.0.1", 9), 0, False)}
+    names = Names(reactor, service.address, 0, told.append, lambda text: None)
+    assert names._sock is not None
+    reactor.forget(names._sock.fileno())
+    names._sock.close()
+    names._sock = None
+    names.ask()
+    until = time.time() + 0.1  # before the next question of its own accord
+    while not told and time.time() < until:
+        reactor.turn(0.01)
+    assert [x.hosts[0].name for x in told] == ["h0"]
+    service.close()
+
+
 def changed(wire: bytes, chance: random.Random) -> bytes:
     """Bytes flipped, cut, doubled or joined, as no honest peer would send them."""
     data = bytearray(wire)
