One reading loop, one way to owe a release, no copies in the books around the module

Each session's end searched all hosts for itself: Over names the host now.

Behaviour is as before but for one bound: releases owed to a host are 1,024 at most on both ways. make test: 581 passed; make check passes.

--- a/otterglade/core/setups.py
+++ b/otterglade/core/setups.py
@@ -117,9 +117,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Over:
-    """Nothing is held of a request any more."""
+    """Nothing is held of a request any more; `host`: where its last attempt went, -1: none went."""
 
     number: int
+    host: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -236,10 +237,9 @@
             return []
         setup.gone = True
         if setup.stage is Stage.OUT:
-            self._orders.append(GiveUp(number, setup.attempts - 1, setup.host, late=False))
+            self._give_up(number, setup, late=False)
         elif setup.stage is Stage.PLAYING:
-            self._orders.append(Cut(number, setup.host))
-            self._timer(now + CUT_HEARD, number, setup.attempts - 1)
+            self._cut(now, number, setup, Cut(number, setup.host))
         else:
             self._drop(number)
         return self._tell(now, api.SessionGone(number))
@@ -253,8 +253,7 @@
             return []
         setup.stage = Stage.PLAYING
         if setup.gone:
-            self._orders.append(Cut(number, setup.host))
-            self._timer(now + CUT_HEARD, number, attempt)
+            self._cut(now, number, setup, Cut(number, setup.host))
             return self._done()
         setup.answered = True
         self._orders.append(Serve(number))
@@ -267,15 +266,29 @@
         setup = self.open.get(number)
         if setup is None or setup.stage is Stage.WAITING or attempt != setup.attempts - 1:
             return []
-        stood, host = setup.stage is Stage.PLAYING, setup.host
-        setup.stage = Stage.WAITING
+        self._end(now, number, setup, outcome, load)
+        self._follow(now)
+        return self._done()
+
+    def _end(
+        self, now: float, number: int, setup: Setup, outcome: api.Outcome, load: api.Load | None = None
+    ) -> None:
+        stood, setup.stage = setup.stage is Stage.PLAYING, Stage.WAITING
         final = setup.answered or setup.gone
-        event = api.AttemptEnded(number, host, attempt, outcome, now - setup.sent, final, load)
+        took, attempt = now - setup.sent, setup.attempts - 1
+        self._later.append(api.AttemptEnded(number, setup.host, attempt, outcome, took, final, load))
         if final:
             if stood and not setup.gone and not setup.moved:
                 self._orders.append(Release(number, outcome))
             self._drop(number)
-        return self._tell(now, event)
+
+    def _give_up(self, number: int, setup: Setup, late: bool) -> None:
+        self._orders.append(GiveUp(number, setup.attempts - 1, setup.host, late))
+
+    def _cut(self, now: float, number: int, setup: Setup, order: Cut | Move) -> None:
+        """Take a session off its host, whose word for its end is waited for, not for ever."""
+        self._orders.append(order)
+        self._timer(now + CUT_HEARD, number, setup.attempts - 1)
 
     # What hosts tell
 
@@ -323,7 +336,7 @@
         if setup is None or setup.answered or setup.gone:
             return
         if setup.stage is Stage.OUT:
-            self._orders.append(GiveUp(number, setup.attempts - 1, setup.host, late=True))
+            self._give_up(number, setup, late=True)
             return
         # The module holds a request for a part of its aim only: this guards rule 1 against a lost timer.
         self._orders.append(Say(f"request {number}: its time is up with no answer"))
@@ -335,11 +348,10 @@
         if setup is None or attempt != setup.attempts - 1:
             return
         if setup.stage is Stage.OUT:
-            self._orders.append(GiveUp(number, attempt, setup.host, late=True))
+            self._give_up(number, setup, late=True)
         elif setup.stage is Stage.PLAYING and (setup.gone or setup.moved):
             # The cut is written: for the rules the session is over, whether its host tells its end or not.
-            orders = self.ended(now, number, attempt, api.Outcome.CANCELLED)
-            self._orders = orders + self._orders
+            self._end(now, number, setup, api.Outcome.CANCELLED)
 
     # The module's actions
 
@@ -407,7 +419,7 @@
         setup.answered = True
         self._orders.append(order)
         if setup.stage is Stage.OUT:
-            self._orders.append(GiveUp(number, setup.attempts - 1, setup.host, late=False))
+            self._give_up(number, setup, late=False)
         else:
             self._drop(number)
 
@@ -416,9 +428,7 @@
         if setup is None or setup.stage is not Stage.PLAYING or setup.gone or setup.moved:
             return
         setup.moved = True
-        self._orders.append(Move(number, setup.host))
-        self._timer(now + CUT_HEARD, number, setup.attempts - 1)
+        self._cut(now, number, setup, Move(number, setup.host))
 
     def _drop(self, number: int) -> None:
-        del self.open[number]
-        self._orders.append(Over(number))
+        self._orders.append(Over(number, self.open.pop(number).host))
--- a/otterglade/net/reactor.py
+++ b/otterglade/net/reactor.py
@@ -118,9 +118,6 @@
             self.rang(now, due)
             call_timer()
 
-    def close(self) -> None:
-        self._epoll.close()
-
 
 class Channel:
     """A non-blocking connection. `close` by its owner is silent; of any other end the handler is told."""
--- a/otterglade/node/door.py
+++ b/otterglade/node/door.py
@@ -9,7 +9,7 @@
 
 import socket
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Protocol
 
 from ..core import interface as api
@@ -69,36 +69,19 @@
     def heard(self, data: bytes) -> bool:
         self.quiet_since = self.door.reactor.clock()
         try:
-            if data:
-                self.reader.feed(data)
-            for _ in range(MESSAGES):
-                message = self.reader.next()
-                if message is None:
-                    return False
-                self.door.message(self, message)
-                if self.channel.closed or self not in self.door.viewers:
-                    return False
+            return self.reader.several(data, MESSAGES, self._one)
         except rtsp.RtspError as error:
             self.door.unreadable(self, str(error))
             return False
-        return True
+
+    def _one(self, message: rtsp.Message) -> bool:
+        self.door.message(self, message)
+        return not self.channel.closed and self in self.door.viewers
 
     def ended(self, cause: str) -> None:
         self.door.ended(self)
 
 
-@dataclass(slots=True)
-class Counts:
-    """What the door has met, for the log."""
-
-    refused: dict[str, int] = field(default_factory=dict)
-
-    def add(self, why: str) -> bool:
-        """Count a reason; True the first time."""
-        self.refused[why] = self.refused.get(why, 0) + 1
-        return self.refused[why] == 1
-
-
 class Door:
     """The listening socket and all that came in by it."""
 
@@ -117,7 +100,8 @@
         self.classes, self.most, self.say = classes, most, say
         self.viewers: dict[Viewer, None] = {}
         self.seats: dict[bytes, Seat] = {}
-        self.counts = Counts()
+        self._said: set[str] = set()
+        """Reasons that are in the log already."""
         self._unsaid: dict[bytes, tuple[bytes, float]] = {}
         """Releases for which no viewer's connection was open, and until when they are owed."""
         Listener(reactor, address, self._newcomer)
@@ -164,10 +148,14 @@
         viewer.open.clear()
         viewer.standing.clear()
 
+    def _say_once(self, text: str) -> None:
+        if text not in self._said:
+            self._said.add(text)
+            self.say(text)
+
     def unreadable(self, viewer: Viewer, why: str) -> None:
-        if self.counts.add(why):
-            self.say(f"a viewer's bytes can't be read: {why}")
-        self._close(viewer, messages.error(400))
+        self._say_once(f"a viewer's bytes can't be read: {why}")
+        self._close(viewer, messages.answer(400))
 
     def sweep(self) -> None:
         """Close connections on which nothing has happened for too long."""
@@ -195,22 +183,21 @@
         elif message.method == b"TEARDOWN":
             seat = self.seats.get(message.session)
             if seat is not None:
-                viewer.channel.send(messages.heard(message))
+                viewer.channel.send(messages.answer(200, message))
                 self.owner.left(seat)
         elif message.method == b"OPTIONS":
             viewer.useful = True
-            viewer.channel.send(messages.heard(message))
+            viewer.channel.send(messages.answer(200, message))
         elif not message.status:
             self._mean_nothing(viewer, message, "method")
 
     def _mean_nothing(self, viewer: Viewer, message: rtsp.Message, why: str) -> None:
-        if self.counts.add(why):
-            self.say(f"a request is not taken: {why}")
+        self._say_once(f"a request is not taken: {why}")
         viewer.errors += 1
         if viewer.errors >= ERRORS_MOST:
-            self._close(viewer, messages.error(400, message))
+            self._close(viewer, messages.answer(400, message))
         else:
-            viewer.channel.send(messages.error(400, message))
+            viewer.channel.send(messages.answer(400, message))
 
     def _set_up(self, viewer: Viewer, message: rtsp.Message) -> None:
         session = message.session
--- a/otterglade/node/gateway.py
+++ b/otterglade/node/gateway.py
@@ -107,8 +107,8 @@
                 if outcome is not api.Outcome.CANCELLED:
                     seat = self._seats[number]
                     self.door.tell(seat, messages.release(seat.session, messages.CAUSES.get(outcome, 41)))
-            case setups.Over(number):
-                self._over(number)
+            case setups.Over(number, host):
+                self._over(number, host)
             case setups.Ask(host):
                 self._at(host, lambda x: x.test())
             case setups.AskList():
@@ -140,13 +140,10 @@
         outcome = api.Outcome.TIMED_OUT if late else api.Outcome.CANCELLED
         self._event(lambda now: self.setups.ended(now, number, attempt, outcome))
 
-    def _over(self, number: int) -> None:
+    def _over(self, number: int, server: int) -> None:
         seat = self._seats.pop(number)
         self._descriptions.pop(number, None)
-        for host in self.hosts.by_number.values():
-            stands = host.standing.get(seat.session)
-            if stands is not None and stands.number == number:
-                host.let_go(seat.session)
+        self._at(server, lambda x: x.let_go(seat.session))
         self.door.forget(seat)
 
     # From viewers
@@ -212,9 +209,10 @@
 
     def _list(self, hosts: tuple[dns.HostRecord, ...]) -> None:
         numbered = {self.setups.host(x.name): x for x in hosts}
-        self.hosts.listed({n: (x.name, (x.address, x.port), x.started / 1000.0) for n, x in numbered.items()})
         zones, kinds = self.config.zones, self.config.kinds
         entries = [messages.entry_of(x, n, zones, kinds) for n, x in numbered.items()]
+        started = {x.server: x.started for x in entries}
+        self.hosts.listed({n: (x.name, (x.address, x.port), started[n]) for n, x in numbered.items()})
         self._event(lambda now: self.setups.listed(now, entries))
 
     # Signals and time
--- a/otterglade/node/hosts.py
+++ b/otterglade/node/hosts.py
@@ -42,7 +42,7 @@
 """Seconds without an answer to a set-up, after which its connection may be of no further use: another one is
 opened, on which the host can send what it could not send there."""
 CALLED_OFF_KEPT = 1024
-"""Set-ups of one host that were given up, whose late answers are still known."""
+"""Set-ups of one host that were given up, whose late answers are still known; releases that it is owed."""
 
 
 class Owner(Protocol):
@@ -101,21 +101,18 @@
     def heard(self, data: bytes) -> bool:
         self.host.heard_at, self.host.failing = self.host.pool.reactor.clock(), None
         try:
-            if data:
-                self.reader.feed(data)
-            for _ in range(MESSAGES):
-                message = self.reader.next()
-                if message is None:
-                    self._note_rest()
-                    return False
-                self.partial_since = None
-                self.host.message(self, message)
-                if self.channel.closed:
-                    return False
+            more = self.reader.several(data, MESSAGES, self._one)
         except rtsp.RtspError as error:
             self.host.spoilt(self, str(error))
             return False
-        return True
+        if not more and not self.channel.closed:
+            self._note_rest()
+        return more
+
+    def _one(self, message: rtsp.Message) -> bool:
+        self.partial_since = None
+        self.host.message(self, message)
+        return not self.channel.closed
 
     def _note_rest(self) -> None:
         """Part of a message is there: its rest is waited for, not for long."""
@@ -229,9 +226,7 @@
         # What the kernel has not taken cannot be called off by a message behind it: the close does it, and
         # the attempt is out no longer. Others on this connection are closed with it, as their set-ups are.
         if link.channel.unsent:
-            link.channel.close()
-            self._gone_with(link, Trouble.BROKEN)
-            self._forget(link)
+            self._drop(link, Trouble.BROKEN)
         self._over(attempt, outcome)
 
     def _over(self, attempt: Attempt, outcome: api.Outcome, load: api.Load | None = None) -> None:
@@ -249,12 +244,17 @@
 
     def cut(self, session: bytes, wire: bytes | None = None) -> None:
         """End a session here, or what may be left of one. It stays held until its host tells the end."""
-        link = self._talk()
-        if link is None:
-            self.owed[session] = None
+        if not self._send_or_owe(session, wire):
             self.ensure_control()
-        else:
+
+    def _send_or_owe(self, session: bytes, wire: bytes | None = None) -> bool:
+        """Write a release; False: no connection is up, and it goes out on the next one that is."""
+        link = self._talk()
+        if link is not None:
             link.channel.send(wire or messages.release(session, 31))
+        elif len(self.owed) < CALLED_OFF_KEPT:
+            self.owed[session] = None
+        return link is not None
 
     def let_go(self, session: bytes) -> None:
         """Nothing is waited for of a session any more."""
@@ -368,9 +368,7 @@
     def spoilt(self, link: Link, why: str) -> None:
         """Bytes that can't be read, or an answer that is not whole: nothing on this connection counts now."""
         self.pool.say(f"{self.name}: {why}")
-        link.channel.close()
-        self._gone_with(link, Trouble.GARBAGE)
-        self._forget(link)
+        self._drop(link, Trouble.GARBAGE)
         self._renew()
 
     def _renew(self) -> None:
@@ -383,8 +381,7 @@
     def link_ended(self, link: Link, cause: str) -> None:
         trouble = {"refused": Trouble.REFUSED, "timed out": Trouble.TIMED_OUT}.get(cause, Trouble.BROKEN)
         was_up = link.channel.up
-        self._gone_with(link, trouble)
-        self._forget(link)
+        self._drop(link, trouble)
         if was_up:
             if cause == "reset":
                 self._renew()
@@ -402,6 +399,12 @@
         elif not open_still or now - self.heard_at > SILENT_FOR:
             self.failing = now if self.failing is None else self.failing
 
+    def _drop(self, link: Link, trouble: Trouble) -> None:
+        """A connection is no more, by its own end or closed here."""
+        link.channel.close()
+        self._gone_with(link, trouble)
+        self._forget(link)
+
     def _gone_with(self, link: Link, trouble: Trouble) -> None:
         """Everything that was open on a connection ends with it."""
         attempts, tests = list(link.attempts.values()), list(link.tests.values())
@@ -418,20 +421,12 @@
                 self.set_up(attempt)
                 continue
             if phase is Phase.ANSWER or phase is Phase.SENT:
-                self._release_rest(attempt.session)
+                self._send_or_owe(attempt.session)  # what it may have set up is not left standing
             self._over(attempt, of_trouble(phase, trouble))
         outcome = of_trouble(Phase.SENT if link.channel.up else Phase.CONNECT, trouble)
         for sent in tests:
             self.pool.owner.probed(self.number, outcome, now - sent, None)
 
-    def _release_rest(self, session: bytes) -> None:
-        """A set-up that may have run, whose answer is of no use: what it set up is not left standing."""
-        talk = self._talk()
-        if talk is not None:
-            talk.channel.send(messages.release(session, 31))
-        elif len(self.owed) < CALLED_OFF_KEPT:
-            self.owed[session] = None
-
     def _forget(self, link: Link) -> None:
         if link in self.links:
             self.links.remove(link)
@@ -459,8 +454,7 @@
     def close(self) -> None:
         links, self.links, self.control = self.links, [], None
         for link in links:
-            link.channel.close()
-            self._gone_with(link, Trouble.BROKEN)
+            self._drop(link, Trouble.BROKEN)
 
     # Now and then
 
@@ -534,7 +528,7 @@
                 host.close()
                 host.lost("has another address", silent=False)
                 host.address = address
-            if started > host.started and host.started != started:
+            if started > host.started:
                 host.restarted(started)
             host.gone, host.started = False, started
         for number, host in list(self.by_number.items()):
@@ -550,7 +544,3 @@
             if host.gone and host.idle:
                 host.close()
                 del self.by_number[number]
-
-    def close(self) -> None:
-        for host in self.by_number.values():
-            host.close()
--- a/otterglade/node/messages.py
+++ b/otterglade/node/messages.py
@@ -164,22 +164,15 @@
     return rtsp.response(500, ((b"CSeq", b"1"), (b"Session", session)))
 
 
-def error(status: int, message: rtsp.Message | None = None) -> bytes:
-    """An error to a request that is not taken, or to bytes that are none."""
+def answer(status: int, message: rtsp.Message | None = None) -> bytes:
+    """An answer with nothing but its status: to a test, a release, a request that is not taken, or to bytes
+    that are no message."""
     fields = [(b"CSeq", (message.fields.get(b"cseq") if message else None) or b"0")]
     if message and message.session:
         fields.append((b"Session", message.session))
     return rtsp.response(status, fields)
 
 
-def heard(message: rtsp.Message) -> bytes:
-    """200 to a test or to a release."""
-    fields = [(b"CSeq", message.fields.get(b"cseq", b"0"))]
-    if message.session:
-        fields.append((b"Session", message.session))
-    return rtsp.response(200, fields)
-
-
 # Messages to both
 
 
--- a/otterglade/wire/rtsp.py
+++ b/otterglade/wire/rtsp.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 MESSAGE_MOST = 16384
@@ -109,6 +109,19 @@
         self._head = None
         return Message(head.method, head.target, head.status, head.fields, body) if body else head
 
+    def several(self, data: bytes, most: int, each: Callable[[Message], bool]) -> bool:
+        """Feed bytes and hand on at most so many messages, while `each` says that the connection goes on.
+
+        True: there may be more. Raises RtspError.
+        """
+        if data:
+            self.feed(data)
+        for _ in range(most):
+            message = self.next()
+            if message is None or not each(message):
+                return False
+        return True
+
     def follows_well(self) -> bool:
         """Whether what has come after the last message may begin a message: if not, that one's length did
         not fit, or noise follows it."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -558,16 +558,20 @@
 # The name service
 
 
+def nothing_goes_to(p: Platform, name: str, times: int = 6) -> None:
+    """Viewers are served, and this host was never asked."""
+    viewer = p.viewer()
+    for _ in range(times):
+        assert viewer.wait(viewer.set_up()).status == 200
+    assert p.hosts[name].count(b"SETUP") == 0
+
+
 def test_nothing_new_goes_to_a_host_that_drains(tmp_path: Path) -> None:
     with platform(tmp_path, hosts=2) as p:
         p.list(draining=("h0",))
         p.names.asked.acquire(timeout=WAIT)
         p.names.wait_asked(3)
-        before = p.hosts["h0"].count(b"SETUP")
-        viewer = p.viewer()
-        for _ in range(8):
-            assert viewer.wait(viewer.set_up()).status == 200
-        assert p.hosts["h0"].count(b"SETUP") == before == 0
+        nothing_goes_to(p, "h0", 8)
 
 
 BAD_ANSWERS: dict[str, Callable[[bytes, bytes], bytes | None]] = {
@@ -597,10 +601,7 @@
             p.names.wait_asked(1)
         assert time.time() - began < 1.5  # by then a change counts as told, however its answers fared
         p.names.wait_asked(1)
-        viewer = p.viewer()
-        for _ in range(6):
-            assert viewer.wait(viewer.set_up()).status == 200
-        assert p.hosts["h1"].count(b"SETUP") == 0
+        nothing_goes_to(p, "h1")
 
 
 def test_an_answer_from_another_address_is_not_read(tmp_path: Path) -> None:
@@ -630,10 +631,7 @@
             p.names.wait_asked(1)
         p.names.wait_asked(2)
         assert time.time() < until + 1.5  # by then what a good answer would have told counts as told
-        viewer = p.viewer()
-        for _ in range(6):
-            assert viewer.wait(viewer.set_up()).status == 200
-        assert p.hosts["h1"].count(b"SETUP") == 0
+        nothing_goes_to(p, "h1")
 
 
 def test_an_older_list_is_never_applied(tmp_path: Path) -> None:
@@ -644,10 +642,7 @@
         old = p.names.serial - 1
         p.names.spoil = lambda query, answer: dns_answer(query, old, both)
         p.names.wait_asked(4)
-        viewer = p.viewer()
-        for _ in range(6):
-            assert viewer.wait(viewer.set_up()).status == 200
-        assert p.hosts["h1"].count(b"SETUP") == 0
+        nothing_goes_to(p, "h1")
 
 
 def test_a_host_at_the_address_of_one_that_is_gone_is_not_taken_for_it(tmp_path: Path) -> None:
@@ -678,10 +673,7 @@
         new.replace(p.path)
         p.signal(signal.SIGHUP)
         p.names.wait_asked(3)
-        viewer = p.viewer()
-        for _ in range(6):
-            assert viewer.wait(viewer.set_up()).status == 200
-        assert p.hosts["h0"].count(b"SETUP") == 0
+        nothing_goes_to(p, "h0")
         old.close()
 
 
--- a/tests/test_rtsp.py
+++ b/tests/test_rtsp.py
@@ -79,6 +79,13 @@
     assert len({refused(wire) for wire in doubled}) == 1
 
 
+def test_several_stops_at_its_quota_and_where_the_connection_ends() -> None:
+    reader, got = rtsp.Reader(), []
+    assert reader.several(GOOD * 3, 2, lambda x: not got.append(x)) and len(got) == 2
+    assert not reader.several(b"", 2, lambda x: not got.append(x)) and len(got) == 3
+    assert not reader.several(GOOD * 2, 2, lambda x: bool(got.append(x))) and len(got) == 4
+
+
 def test_no_message_is_longer_than_the_protocol_allows() -> None:
     body = b"a" * (
         rtsp.MESSAGE_MOST - len(rtsp.request(b"SETUP", b"rtsp://media/a", [], b"a" * 9999)) + 9999 - 1
