--- a/otterglade/standins/host.py
+++ b/otterglade/standins/host.py
@@ -26,7 +26,7 @@
 from ..net.threads import Failure, spawn
 from ..wire import http1, orca, sse
 from . import titles as t
-from .record import Record
+from .record import Heart, Record
 
 FULL = http1.response(503, body=b"too many connections\n", keep_alive=False)
 RUNS_NOT = (b"Setup-Ran", b"no")
@@ -170,6 +170,7 @@
         self.spec = spec
         self.record = Record(Path(spec.record) if spec.record else None)
         self._on_failure = on_failure
+        self._heart = Heart(time.monotonic())
         self._random = random.Random(spec.seed)
         self._epoch = f"{os.getpid()}-{time.monotonic_ns()}"
         self._began = time.monotonic()
@@ -193,6 +194,7 @@
     def start(self) -> None:
         self.listener.start()
         spawn("clock", self._clock, self._on_failure)
+        spawn("heart", self._heart.run, self._on_failure)
         self.record.write("up", host=self.spec.id, cold=self.spec.started_cold, port=self.listener.address[1])
 
     def _serve(self, stream: Stream, peer: Address, first: bytes) -> None:
@@ -233,9 +235,10 @@
         method = exchange.request.method
         if path == "/control" and method == b"POST":
             return self._control(exchange)
+        came = time.monotonic()
         self._hang()
         if parts[0] == "sessions" and len(parts) == 2 and method == b"PUT":
-            return self._set_up(exchange, parts[1])
+            return self._set_up(exchange, parts[1], came)
         if parts[0] == "sessions" and len(parts) == 2 and method == b"GET":
             return self._fate(exchange, parts[1])
         if parts[0] == "sessions" and len(parts) == 2 and method == b"DELETE":
@@ -286,13 +289,15 @@
                 del self._claims[next(iter(self._claims))]
         return exchange.reply(204)
 
-    def _set_up(self, exchange: Exchange, setup: str) -> bytes | None:
+    def _set_up(self, exchange: Exchange, setup: str, came: float) -> bytes | None:
+        """`came`: when it was read; the record also says by how much sooner it may have been there."""
         try:
             body = msgspec.json.decode(exchange.body, type=SetupBody)
         except msgspec.MsgspecError as error:
             return exchange.reply(400, body=f"{error}\n".encode())
         within = float(exchange.request.get(b"setup-within") or 0.0)
-        self._ledger("asked", setup, body, rung=body.rung, within=within)
+        late = self._heart.late(came) + time.monotonic() - came
+        self._ledger("asked", setup, body, rung=body.rung, within=within, late=late)
         if not self._paced():
             self._hang()
         if body.title not in self._titles or body.session_class not in self.spec.scales:
--- a/otterglade/standins/record.py
+++ b/otterglade/standins/record.py
@@ -4,6 +4,7 @@
 
 import threading
 import time
+from collections import deque
 from pathlib import Path
 from typing import Any
 
@@ -25,6 +26,43 @@
             self._file.write(msgspec.json.encode({"t": time.monotonic(), "ev": event, **fields}) + b"\n")
 
 
+BEAT = 0.01
+"""Seconds between two beats of a heart."""
+FELT = 1.0
+"""Seconds for which a late beat counts: what waited for the processor with it is noted after it."""
+
+
+class Heart:
+    """How late this process has been: a stand-in notes what reached it once it runs, not when it came.
+
+    It sleeps for `BEAT` and sees by how much longer it slept. A judge who takes the machine's lateness for the
+    gateway's finds rules broken on a busy machine that none broke.
+    """
+
+    def __init__(self, now: float) -> None:
+        self._due = now + BEAT
+        self._late: deque[tuple[float, float]] = deque()
+
+    def beat(self, now: float) -> None:
+        """It runs now."""
+        if now > self._due:
+            self._late.append((now, now - self._due))
+        while self._late and self._late[0][0] < now - FELT:
+            self._late.popleft()
+        self._due = now + BEAT
+
+    def late(self, now: float) -> float:
+        """Seconds by which what is noted now may have come sooner."""
+        past = max((late for at, late in list(self._late) if at >= now - FELT), default=0.0)
+        return max(past, now - self._due, 0.0)
+
+    def run(self) -> None:
+        """Beats for ever, on a thread of its own."""
+        while True:
+            time.sleep(BEAT)
+            self.beat(time.monotonic())
+
+
 def read(path: Path) -> list[dict[str, Any]]:
     """The events of a record; a last line that a kill cut short is left out. Raises ValueError for others."""
     lines = path.read_bytes().split(b"\n")
--- a/tests/test_setups.py
+++ b/tests/test_setups.py
@@ -167,6 +167,20 @@
     assert again and isinstance(again[0], setups.Send) and again[0].attempt == 1
 
 
+def test_an_answer_that_crosses_its_viewers_leaving_is_cut_and_never_served() -> None:
+    """He has gone, his attempt is called off, and the host's answer was on its way."""
+    s = made()
+    number, orders = s.request(100.0, terms(PAID))
+    [send] = only(orders, setups.Send)
+    assert isinstance(send, setups.Send)
+    assert only(s.gone(100.1, number), setups.GiveUp)
+    orders = s.plays(100.2, number, send.attempt)
+    assert only(orders, setups.Cut) == [setups.Cut(number, send.host)]
+    assert not only(orders, setups.Serve)
+    orders = s.ended(100.3, number, send.attempt, api.Outcome.CANCELLED)
+    assert not only(orders, setups.Release) and only(orders, setups.Over)
+
+
 def test_attempts_are_no_more_than_the_site_allows() -> None:
     s = made(bounds__max_attempts=1)
     number, _ = s.request(100.0, terms())
