--- a/otterglade/standins/record.py
+++ b/otterglade/standins/record.py
@@ -33,10 +33,10 @@
 
 
 class Heart:
-    """How late this process has been: a stand-in notes what reached it once it runs, not when it came.
+    """How late this process has been: a stand-in notes what reached it once it runs, not as it came.
 
-    It sleeps for `BEAT` and sees by how much longer it slept. A judge who takes the machine's lateness for the
-    gateway's finds rules broken on a busy machine that none broke.
+    It sleeps for `BEAT` and sees by how much longer it slept. A judge who takes the machine's lateness for
+    the gateway's finds rules broken on a busy machine that none broke.
     """
 
     def __init__(self, now: float) -> None:
--- a/tests/platform.py
+++ b/tests/platform.py
@@ -353,10 +353,17 @@
         return self.folder / "config.json"
 
     def start(self) -> None:
+        self.configure()
+        self.process = start(self.path, self.folder / "log")
+        self.wait_up()
+
+    def configure(self) -> None:
         with socket.create_server(("127.0.0.1", 0)) as free:
             self.address = free.getsockname()
         self.path.write_text(json.dumps(self.config()))
-        self.process = start(self.path, self.folder / "log")
+
+    def wait_up(self) -> None:
+        assert self.process is not None
         until = time.time() + WAIT
         while True:
             try:
