--- a/tests/test_setups.py
+++ b/tests/test_setups.py
@@ -188,6 +188,40 @@
     assert only(orders, setups.Turn) and not only(orders, setups.Send)
 
 
+def test_a_late_answer_of_the_attempt_before_is_not_taken_for_the_one_that_is_out() -> None:
+    """The first one's time is up and its end is told; its answer comes while the second is out."""
+    s = made()
+    number, orders = s.request(100.0, terms())
+    [first] = only(orders, setups.Send)
+    assert isinstance(first, setups.Send)
+    [second] = only(s.ended(100.3, number, first.attempt, api.Outcome.TIMED_OUT), setups.Send)
+    assert isinstance(second, setups.Send) and second.attempt == first.attempt + 1
+    assert not s.plays(100.31, number, first.attempt)
+    assert only(s.plays(100.4, number, second.attempt), setups.Serve) == [setups.Serve(number)]
+
+
+class Insistent:
+    """A module that sends a session again whatever happens."""
+
+    def handle(self, now: float, event: api.Event) -> list[api.Action]:
+        if isinstance(event, api.SessionRequest):
+            return [api.StartAttempt(event.session, 0, 0.0)]
+        if isinstance(event, api.AttemptEnded) and event.outcome is not api.Outcome.SKIPPED:
+            return [api.StartAttempt(event.session, 0, 0.0)]
+        return []
+
+
+def test_a_module_that_insists_sends_no_attempt_more_than_the_site_allows() -> None:
+    s = made()
+    s.controller = Insistent()  # type: ignore[assignment]
+    number, orders = s.request(100.0, terms())
+    sent = 0
+    for _ in range(2 * s.settings.max_attempts):  # bounded: without the limit it would go on for ever
+        sent += len(only(orders, setups.Send))
+        orders = s.ended(100.1, number, sent - 1, api.Outcome.BUSY)
+    assert sent == s.settings.max_attempts
+
+
 def test_a_change_is_told_once_and_an_omitted_host_is_gone() -> None:
     s = made()
     s.listed(100.5, [entry(0), entry(1), entry(2)])
