--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -263,6 +263,29 @@
         assert answer.status == 500 and set_ups(p) == 1
 
 
+def test_what_a_broken_connection_may_have_set_up_is_released_on_the_next(tmp_path: Path) -> None:
+    """Its host may have set it up before the reset: nobody would end it there."""
+    broken: list[bytes] = []
+
+    def act(got: Got) -> None:
+        if got.message.method == b"SETUP" and not broken:
+            broken.append(got.message.session)
+            got.connection.reset()
+        else:
+            good(got)
+
+    with platform(tmp_path, hosts=1, act=act) as p:
+        viewer, host = p.viewer(), p.hosts["h0"]
+        assert viewer.wait(viewer.set_up(b"paid")).status == 500
+        until = time.time() + WAIT
+        while time.time() < until:  # the breaker lets a free one through once its time is up
+            viewer.wait(viewer.set_up())
+            if [x for x in host.all if x.message.method == b"TEARDOWN" and x.message.session in broken]:
+                return
+            time.sleep(0.2)
+        raise AssertionError("it was left standing")
+
+
 def test_a_refused_connection_proves_that_nothing_ran(tmp_path: Path) -> None:
     with platform(tmp_path) as p:
         p.hosts["h0"].die()
