Module: a pool, its rate of set-ups and its requests are each worked out in one place

Need: on reading the change again, whether many share the pools was worked out anew for each holder that a choice ranks, over all own sessions and with books made only to carry a size; the list of a server's pools stood four times, the long rate of requests twice, and a step's worth had two methods. Change: the choice works it out once, _pools, _usual and _joined serve all; a test's world works out its use once a step.

--- a/otterglade/core/policy.py
+++ b/otterglade/core/policy.py
@@ -18,9 +18,7 @@
 NEAR = 0.5  # C/W within so much are alike, and drawn among, where nothing may be asked
 RHO_STREAMS, RHO_LINK = 0.1, 0.9  # proportion factors of the weight, summing to 1: links bind, not places
 TARGET = 0.95  # share of a link to fill: true rates vary by the second, and running short costs `stall` times
-MANY_TARGET = (
-    0.9  # the same where many share the link: no room is kept for one's own size, but each reading is old
-)
+MANY_TARGET = 0.9  # the same where many share it: all act on readings that are old
 CLIMB_TARGET = 0.8  # the same for climbs: they leave room for set-ups, which cost nothing to start high
 SHORT = 0.98  # delivered share under which sessions lose worth, by the servers' contract
 SWAP_GAIN = 1.2  # a swap's gain in worth a kB over its loss: hysteresis against swapping back
@@ -162,10 +160,9 @@
         """
         if not (self.s.probes and self.s.reports_by_probe):
             return False
-        few = sorted(
-            (x for x in self.fleet.holders(session.request) if self._closed(x, session)), key=self._rank
-        )
-        if self._many():  # the best of several fresh readings is the one that all gateways choose
+        many, holders = self._many(), self.fleet.holders(session.request)
+        few = sorted((x for x in holders if self._closed(x, session)), key=lambda x: self._rank(x, many))
+        if many:  # the best of several fresh readings is the one that all gateways choose
             session.asked = {x.entry.server for x in few[:1] if self._outdated(x)}
         else:
             old = self.now - ASK_AGE * self.s.note_delay
@@ -178,9 +175,8 @@
     def _outdated(self, server: Server) -> bool:
         """Whether what came since may have changed what the tighter of link and uplink was read to have."""
         own, rack = self._used(server)
-        pair = ((server.uplink, self.s.racks), (server.link, len(self.fleet.ready)))
-        use, pools = pair[rack < own]
-        came = self._came() * self.s.gateways / max(1, pools) * self._mean_rate()
+        use, pools = self._pools(server)[rack >= own]
+        came = self._joined(pools) * self._mean_rate()
         return use.value is None or came * (self.now - use.at) > TURNOVER * use.size
 
     def _hold(self, session: Session, wait: float) -> None:
@@ -193,13 +189,15 @@
         The draw guards against all gateways picking the same server, seen alike by all. Where nothing may be
         asked C counts this set-up too, or servers known idle since one plays there are always passed over.
         """
-        return min([x for x in servers if self._weight(x) > 0] or servers, key=self._rank)
+        many = self.s.probes and self._many()
+        weighty = [x for x in servers if self._weight(x) > 0] or servers
+        return min(weighty, key=lambda x: self._rank(x, many))
 
-    def _rank(self, server: Server) -> tuple[float, float, float]:
+    def _rank(self, server: Server, many: bool) -> tuple[float, float, float]:
         weight, draw, blind = self._weight(server) or 1.0, self.random.random(), not self.s.probes
         tie = -weight if self.s.reports_by_probe else -math.log(1.0 - draw) / weight
         count = float(len(server.sessions))
-        if self._many() and self.s.probes:  # one's own few sessions there are chance: they tell of no load
+        if many:  # one's own few sessions there are chance: they tell of no load
             usual = len(self.sessions) / max(1, len(self.fleet.ready))
             count = max(0.0, count - usual - 2.0 * math.sqrt(usual))
             if self.now - server.used_at < self.s.idle_close:
@@ -271,9 +269,7 @@
         others = self.s.gateways - 1.0
         if joining and (use.value is not None or self.heard > 0):
             age = self.s.note_delay + min(self.now - use.at, self.s.cold)
-            span = max(min(self.now - self.began, self.s.cold) + self.s.note_delay, 1e-3)
-            rate = self.taken.since(self.now - span) / span
-            others = min(others, max(1.0, math.sqrt(rate * others * age / pools)))
+            others = min(others, max(1.0, math.sqrt(self._usual() * others * age / pools)))
         elif not joining and (use.value is None or use.own_rate <= 0):
             return 0.0
         elif not joining and use.value is not None:
@@ -284,8 +280,11 @@
 
     def _room(self, server: Server, joining: bool = False) -> float:
         """The free room of link and uplink for this gateway; negative when over target."""
-        link = self._part(server.link, max(1, len(self.fleet.ready)), joining)
-        return min(link, self._part(server.uplink, self.s.racks, joining))
+        return min(self._part(use, pools, joining) for use, pools in self._pools(server))
+
+    def _pools(self, server: Server) -> tuple[tuple[Use, int], tuple[Use, int]]:
+        """A server's link and its rack's uplink, each with how many such pools there are."""
+        return (server.link, max(1, len(self.fleet.ready))), (server.uplink, self.s.racks)
 
     def _fitting(self, session: Session, server: Server) -> int:
         """The highest rung that fits; a much higher own session gives way a step where that earns more."""
@@ -297,17 +296,21 @@
                 continue
             freed = high.rate - high.server.rate_of(high, high.rung - 1, self.s)
             better = self._fits(session, server, room + freed)
-            if better > rung and self._step_worth(session, better) > SWAP_GAIN * self._step_worth(
-                high, high.rung
-            ):
+            if better > rung and self._step_worth(
+                session.request.lane, better
+            ) > SWAP_GAIN * self._step_worth(high.request.lane, high.rung):
                 self._set_rung(high, high.server, high.rung - 1)
                 rung = better
         return rung
 
+    def _usual(self) -> float:
+        """Requests a second, over a long while."""
+        span = max(min(self.now - self.began, self.s.cold) + self.s.note_delay, 1e-3)
+        return self.taken.since(self.now - span) / span
+
     def _came(self) -> float:
         """Requests a second: over a long while, or what a short one shows beyond chance, a surge."""
-        span = min(self.now - self.began, self.s.cold) + self.s.note_delay
-        came = self.taken.since(self.now - span) / span
+        came = self._usual()
         for part in (self.s.note_delay, SETTLE * self.s.note_delay):
             count = max(0.0, self.taken.since(self.now - part) - 1.0)  # less the one that is looked at
             came = max(came, (count - math.sqrt(count)) / part)
@@ -318,26 +321,29 @@
         rates = [x.rate for x in self.sessions.values() if x.server is not None]
         return sum(rates) / len(rates) if rates else self.s.ladder[len(self.s.ladder) // 2]
 
-    def _crowd(self, use: Use, pools: int) -> float:
+    def _joined(self, pools: int) -> float:
+        """Set-ups a second that all gateways send to one of so many pools."""
+        return self._came() * self.s.gateways / pools
+
+    def _crowd(self, size: float, age: float, pools: int) -> float:
         """Set-ups that all gateways send to a pool while its room is made up for; 0: too few.
 
         That is to take e times the reading's age and delay: a loop with such a lag swings if it is sooner.
         Too few: their number is chance by a third, or what chance takes is over the margin.
         """
-        if use.size <= 0 or self.s.gateways < 2:
+        if size <= 0 or self.s.gateways < 2:
             return 0.0
-        age = 0.0 if use.value is None else min(self.now - use.at, self.s.cold)
-        crowd = self._came() * self.s.gateways * math.e * (age + self.s.note_delay) / max(1, pools)
+        crowd = self._joined(pools) * math.e * (age + self.s.note_delay)
         chance = math.sqrt(crowd) * self._mean_rate()
-        return crowd if crowd > 9 and chance < (1.0 - TARGET) * use.size else 0.0
+        return crowd if crowd > 9 and chance < (1.0 - TARGET) * size else 0.0
 
     def _many(self) -> bool:
         """Whether links hold so many that one session is within their margin, and chance evens out."""
         if self._mean_rate() > (1.0 - TARGET) * self.fleet.mean_link:
             return False
         if self.s.rack_link > 0:
-            return self._crowd(Use(self.s.rack_link), self.s.racks) > 0
-        return self._crowd(Use(self.fleet.mean_link), len(self.fleet.ready)) > 0
+            return self._crowd(self.s.rack_link, 0.0, self.s.racks) > 0
+        return self._crowd(self.fleet.mean_link, 0.0, max(1, len(self.fleet.ready))) > 0
 
     def _even(self, session: Session, server: Server) -> int | None:
         """Where many share a pool, the rung at which all who set up there can start; None: it is not so.
@@ -348,14 +354,15 @@
         """
         if not self._many():
             return None
-        least, came = math.inf, self._came()
+        least = math.inf
         playing = [x for x in self.sessions.values() if x.server is not None]
         ends = sum(x.rate / max(x.request.hint or self.s.cold, self.s.note_delay) for x in playing)
-        for use, pools in ((server.link, len(self.fleet.ready)), (server.uplink, self.s.racks)):
-            crowd = self._crowd(use, pools)
+        left = min(self._mean_rate(), ends / self._came())
+        for use, pools in self._pools(server):
+            age = 0.0 if use.value is None else min(self.now - use.at, self.s.cold)
+            crowd = self._crowd(use.size, age, pools)
             if crowd > 0 and (use.value is not None or use is server.link):
                 value = self.heard if use.value is None else use.value
-                left = min(self._mean_rate(), ends / came)
                 least = min(least, left + (MANY_TARGET - value) * use.size / crowd)
         return None if least == math.inf else self._dealt(session, least)
 
@@ -370,7 +377,7 @@
         steps, left, rung = [], mean, session.terms.floor
         for lane, terms in enumerate(self.s.classes):
             left -= share[lane] * rates[terms.floor] * terms.scale
-            steps += [(-self._worth_of(lane, x), lane, x) for x in range(terms.floor + 1, terms.top + 1)]
+            steps += [(-self._step_worth(lane, x), lane, x) for x in range(terms.floor + 1, terms.top + 1)]
         for _, lane, step in sorted(steps):
             cost = share[lane] * (rates[step] - rates[step - 1]) * self.s.classes[lane].scale
             if left <= 0:
@@ -389,7 +396,7 @@
         found, top, least = None, 0, math.inf
         for x in use.sessions.values():
             if x.rung >= top and x.playing and x.rung > x.terms.floor:
-                worth = self._step_worth(x, x.rung)
+                worth = self._step_worth(x.request.lane, x.rung)
                 if x.rung > top or worth < least:
                     found, top, least = x, x.rung, worth
         return found
@@ -398,11 +405,8 @@
         server.put(session, rung, self.now, self.s)
         self.out.append(api.ChooseRung(session.number, rung))
 
-    def _step_worth(self, session: Session, rung: int) -> float:
-        """Worth a second, for each kB, of the step up to this rung."""
-        return self._worth_of(session.request.lane, rung)
-
-    def _worth_of(self, lane: int, rung: int) -> float:
+    def _step_worth(self, lane: int, rung: int) -> float:
+        """Worth a second, for each kB, of a class's step up to this rung."""
         known = self.steps.get((lane, rung))
         if known is None:
             worths, rates, terms = self.s.ladder_worth, self.s.ladder, self.s.classes[lane]
@@ -439,7 +443,7 @@
         able = [
             x for x in uplink.sessions.values() if x.playing and x.rung < x.top and self._pays(x, x.rung + 1)
         ]
-        for session in sorted(able, key=lambda x: -self._step_worth(x, x.rung + 1)):
+        for session in sorted(able, key=lambda x: -self._step_worth(x.request.lane, x.rung + 1)):
             server = session.server
             if server is None or self.now < server.link.climb_after:
                 continue
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -95,8 +95,9 @@
                 home=self.random.randrange(HOSTS), holders=3, title=f"t{self.requests}",
             )  # fmt: skip
             self.carry(now, gate, self.gates[gate].handle(now, ask))
-        self.past.append((now, self.use()))
-        short = max(0.0, 1.0 - 1.0 / (0.98 * max(self.use(), 1.0 / 0.98)))
+        use = self.use()
+        self.past.append((now, use))
+        short = max(0.0, 1.0 - 1.0 / (0.98 * max(use, 1.0 / 0.98)))
         worths = [
             self.site.classes[lane].worth * self.site.ladder_worth[rung]
             for _, lane, rung, _ in self.playing.values()
