A site whose notes are not late at all no longer ends the module at a request

Wrong line: the short windows of _came. Change: windows of a millisecond at least, as elsewhere in the module. Measured: the new test fails with a division by zero without it; sites with a delay decide as before.

--- a/otterglade/core/policy.py
+++ b/otterglade/core/policy.py
@@ -310,8 +310,8 @@
 
     def _came(self) -> float:
         """Requests a second: over a long while, or what a short one shows beyond chance, a surge."""
-        came = self._usual()
-        for part in (self.s.note_delay, SETTLE * self.s.note_delay):
+        came, short = self._usual(), max(self.s.note_delay, 1e-3)
+        for part in (short, SETTLE * short):
             count = max(0.0, self.taken.since(self.now - part) - 1.0)  # less the one that is looked at
             came = max(came, (count - math.sqrt(count)) / part)
         return came
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -163,6 +163,13 @@
     assert not world.probes and len(world.first) > 250
 
 
+def test_a_site_whose_notes_are_not_late_at_all_is_served() -> None:
+    """Windows of no length: a division by it ended the gateway at its first request."""
+    world = Many(replace(FLEET, note_delay=0.0))
+    world.run(3.0, 60.0)
+    assert len(world.first) == world.requests
+
+
 def test_a_connection_that_is_there_is_used_again_where_holders_are_alike() -> None:
     """Each gateway went to ever new hosts: half a handshake a session, over the whole fleet."""
     kept, free = Many(), Many(replace(FLEET, handshake_price=0.0))
