Membership between gateways: SWIM with Lifeguard's self-doubt, decided without I/O

Need: gateways never spoke to one another, and a fleet that returns from a power loss has to know who is in it.

Not used by any gateway yet.

--- /dev/null
+++ b/tests/test_members.py
@@ -0,0 +1,256 @@
+"""Membership: the table of standings, and the detector in a mesh with faults between its members."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Iterator
+
+import msgspec
+import pytest
+
+from otterglade.core.fleet import members as module
+from otterglade.core.fleet.members import Members
+from otterglade.core.fleet.messages import Kind, Message, Piece, Seal, SealError, Seen
+from otterglade.core.fleet.standing import NEXT, UNREACHABLE, Said, Standing, said
+from otterglade.explore.gossip import SEAL, Links, Mesh
+
+ALIVE, SUSPECT, DEAD, LEFT = Standing.ALIVE, Standing.SUSPECT, Standing.DEAD, Standing.LEFT
+
+
+def names(count: int) -> list[str]:
+    return [f"g{n}" for n in range(count)]
+
+
+def seen_as(mesh: Mesh, name: str) -> set[Standing]:
+    return {
+        mesh.of(x).standing(name) for x, seat in mesh.seats.items() if seat.members is not None and x != name
+    }
+
+
+def deaths(mesh: Mesh, *but: str) -> list[str]:
+    return [x.name for _, _, x in mesh.changes if x.after is DEAD and x.name not in but]
+
+
+class Reached(dict[tuple[Standing, Said], Standing]):
+    """The table, remembering which of its rows were read."""
+
+    def __init__(self) -> None:
+        super().__init__(NEXT)
+        self.read: set[tuple[Standing, Said]] = set()
+
+    def __getitem__(self, pair: tuple[Standing, Said]) -> Standing:
+        self.read.add(pair)
+        return super().__getitem__(pair)
+
+
+@pytest.fixture
+def reached(monkeypatch: pytest.MonkeyPatch) -> Iterator[Reached]:
+    table = Reached()
+    monkeypatch.setattr(module, "NEXT", table)
+    yield table
+
+
+def test_every_pair_is_reached_or_has_its_reason(reached: Reached) -> None:
+    assert {*NEXT} | {*UNREACHABLE} == {*itertools.product(Standing, Said)}
+    assert not {*NEXT} & {*UNREACHABLE}
+    for seed in range(1, 7):
+        mesh = Mesh(names(6), seed, Links(lost=0.25, doubled=0.2, late=(0.001, 0.7)))
+        mesh.run(8.0)
+        mesh.links.part(("g4",), names(4))  # it hears g5 alone, and both speak of the others
+        mesh.run(20.0)
+        mesh.kill("g0")
+        mesh.run(26.0)
+        mesh.stop("g3")
+        mesh.run(60.0)
+        mesh.links.cut.clear()
+        mesh.go_on("g3")
+        mesh.run(80.0)
+        mesh.start("g0")
+        mesh.run(90.0)
+        mesh.leave("g1")
+        mesh.run(110.0)
+        mesh.start("g1")
+        mesh.leave("g5")
+        mesh.run(125.0)
+    # Words that a mesh passes on seldom, told as one would be.
+    for state, word in sorted({*NEXT} - reached.read, key=lambda x: (x[0].value, x[1].value)):
+        mesh = Mesh(names(3), 1)
+        mesh.run(3.0)
+        held = mesh.of("g0")
+        held.peers["g1"] = module.Peer("g1")
+        if state is not Standing.UNKNOWN:
+            held._piece(mesh.now, Piece("g1", state.value, 3, 3, "x", "g2"))
+        assert word not in (Said.MISSED, Said.EXPIRED), f"{state}, {word}: a mesh reaches what time brings"
+        say, _, which = word.name.rpartition("_")
+        turn = {"STALE": 2, "SAME": 3, "NEWER": 4}[which]
+        held._piece(mesh.now, Piece("g1", say.lower() or "alive", 3, turn, "x", "g2"))
+    assert reached.read == {*NEXT}
+
+
+def test_the_same_words_in_any_order_leave_the_same_standing() -> None:
+    words = [
+        (ALIVE, (1, 0)), (SUSPECT, (1, 0)), (ALIVE, (1, 1)), (DEAD, (1, 1)), (ALIVE, (2, 0)), (LEFT, (1, 2)),
+    ]  # fmt: skip
+    for order in itertools.permutations(words):
+        state, held = Standing.UNKNOWN, (0, 0)
+        for standing, number in order:
+            word = said(held, standing, number)
+            state, held = NEXT[state, word], max(held, number)
+        assert (state, held) == (ALIVE, (2, 0))
+
+
+def test_a_dead_one_is_held_dead_by_all_and_nobody_else() -> None:
+    mesh = Mesh(names(20), 3)
+    mesh.run(20.0)
+    assert all(seen_as(mesh, x) == {ALIVE} for x in mesh.seats)
+    mesh.kill("g7")
+    mesh.run(40.0)
+    assert seen_as(mesh, "g7") == {DEAD}
+    assert deaths(mesh, "g7") == []
+    mesh.start("g7")
+    mesh.run(50.0)
+    assert seen_as(mesh, "g7") == {ALIVE}
+
+
+def test_where_a_third_of_all_messages_is_lost_nobody_is_buried_alive() -> None:
+    mesh = Mesh(names(12), 5, Links(lost=0.3, doubled=0.1, late=(0.001, 0.1)))
+    mesh.run(60.0)
+    assert deaths(mesh) == []
+    mesh.kill("g2")
+    mesh.run(100.0)
+    assert seen_as(mesh, "g2") == {DEAD}
+
+
+def test_one_that_stood_still_doubts_itself_before_others() -> None:
+    mesh = Mesh(names(8), 6)
+    mesh.run(15.0)
+    mesh.stop("g1")
+    mesh.run(17.5)  # too short to be held dead, long enough for its own question to go unanswered
+    mesh.go_on("g1")
+    before = mesh.of("g1").health
+    mesh.run(40.0)
+    assert before >= 1
+    assert deaths(mesh) == []
+    assert not [x for _, at, x in mesh.changes if at == "g1" and x.after is SUSPECT]
+    assert mesh.of("g1").health == 0
+
+
+def test_one_that_is_deaf_doubts_itself() -> None:
+    mesh = Mesh(names(8), 9)
+    mesh.run(10.0)
+    mesh.links.cut = {(x, "g3") for x in mesh.seats}
+    mesh.run(14.0)
+    assert mesh.of("g3").health >= 2
+
+
+def test_two_halves_that_parted_meet_again() -> None:
+    mesh = Mesh(names(8), 7)
+    mesh.run(10.0)
+    mesh.links.part(names(4), names(8)[4:])
+    mesh.run(45.0)
+    assert {mesh.of("g0").standing(x) for x in names(8)[4:]} == {DEAD}
+    mesh.links.cut.clear()
+    mesh.run(65.0)
+    assert all(seen_as(mesh, x) == {ALIVE} for x in mesh.seats)
+
+
+def test_one_that_leaves_is_not_suspected() -> None:
+    mesh = Mesh(names(6), 8)
+    mesh.run(10.0)
+    mesh.leave("g4")
+    mesh.run(30.0)
+    assert seen_as(mesh, "g4") == {LEFT}
+
+
+def test_an_old_run_and_a_repeated_message_change_nothing() -> None:
+    mesh = Mesh(names(3), 2)
+    mesh.tape = []
+    mesh.run(8.0)
+    old = list(mesh.tape)
+    mesh.kill("g1")
+    mesh.start("g1")
+    mesh.run(16.0)
+    before = {x: mesh.of(x).standing("g1") for x in ("g0", "g2")}
+    numbers = mesh.of("g0").peers["g1"].number
+    for message in old:
+        mesh.deliver(message, 0.0)
+    dropped = sum(mesh.of("g0").dropped.values())
+    mesh.run(16.05)
+    assert sum(mesh.of("g0").dropped.values()) - dropped >= sum(x.to == "g0" for x in old)
+    assert before == {x: mesh.of(x).standing("g1") for x in ("g0", "g2")} == {"g0": ALIVE, "g2": ALIVE}
+    assert mesh.of("g0").peers["g1"].number == numbers == (2, 0)
+
+
+@pytest.mark.parametrize("boot", [1, 4])
+def test_a_new_machine_or_an_old_disk_under_a_known_name_is_told(boot: int) -> None:
+    mesh = Mesh(names(4), 4)
+    mesh.seats["g2"].boot = 6
+    mesh.kill("g2")
+    mesh.start("g2")
+    mesh.run(10.0)
+    mesh.kill("g2")
+    mesh.start("g2", boot)
+    mesh.run(13.0)
+    assert mesh.of("g2").behind == 7
+    mesh.start("g2", 8)
+    mesh.run(20.0)
+    assert mesh.of("g2").behind == 0 and mesh.of("g2").met
+    assert seen_as(mesh, "g2") == {ALIVE}
+
+
+def test_two_processes_with_one_name_are_noticed() -> None:
+    mesh = Mesh(names(4), 11)
+    mesh.run(6.0)
+    twin = Members("g1", 2, "twin", mesh.seats, mesh.now, 1)
+    mesh.send(twin.tick(mesh.now + 1.0))
+    mesh.run(7.0)
+    hello = Message(Kind.PING, "g1", 2, 0, "twin", 9, "g0", mesh.of("g0").run, question=1)
+    mesh.deliver(hello, 0.0)
+    mesh.run(14.0)
+    assert mesh.of("g0").peers["g1"].run == "twin"
+    assert mesh.of("g1").behind == 2
+
+
+def test_cost_is_flat_in_the_size_of_the_fleet() -> None:
+    rates = []
+    for size in (12, 60):
+        mesh = Mesh(names(size), 1)
+        mesh.run(30.0)
+        before = mesh.bytes
+        mesh.run(60.0)
+        rates.append((mesh.bytes - before) / size / 30.0)
+    assert rates[1] < 1.25 * rates[0]
+
+
+def test_a_seal_holds_against_change_and_strangers() -> None:
+    members = Members("a", 1, "r", ("a", "b"), 0.0, 1)
+    data = SEAL.close(members.message(Kind.PING, "b", 1.0))
+    assert SEAL.open(data).sender == "a"
+    for cut in range(len(data)):
+        with pytest.raises(SealError):
+            SEAL.open(data[:cut])
+        changed = bytearray(data)
+        changed[cut] ^= 1
+        with pytest.raises(SealError):
+            SEAL.open(bytes(changed))
+    with pytest.raises(SealError, match="not known"):
+        SEAL.open(Seal({"other": b"k" * 32}, "other").close(members.message(Kind.PING, "b", 1.0)))
+    with pytest.raises(ValueError, match="at most"):
+        SEAL.close(msgspec.structs.replace(members.message(Kind.CLAIM, "b", 1.0), body=bytes(2000)))
+
+
+def test_strangers_and_wrong_receivers_are_dropped_and_counted() -> None:
+    members = Members("a", 1, "r", ("a", "b"), 0.0, 1)
+    for sender, to in (("z", "a"), ("b", "c"), ("a", "a")):
+        assert members.received(1.0, Message(Kind.PING, sender, 1, 0, "x", 1, to, "r")) == []
+    assert members.dropped == {"stranger": 1, "misrouted": 1, "own name": 1}
+    members.received(1.0, Message(Kind.PING, "b", 1, 0, "x", 1, "a", "r", pieces=(Piece("z", "dead", 1, 0),)))
+    members.received(1.0, Message(Kind.PING, "b", 1, 0, "x", 2, "a", "r", pieces=(Piece("b", "odd", 1, 0),)))
+    assert members.dropped["word about nobody"] == members.dropped["unknown standing"] == 1
+
+
+def test_numbers_are_taken_once_and_not_far_behind() -> None:
+    seen = Seen()
+    assert [seen.take(x) for x in (1, 3, 2, 2, 3, 100, 36, 37, 37, 0)] == [
+        True, True, True, False, False, True, False, True, False, False,
+    ]  # fmt: skip
