--- a/otterglade/core/fleet/members.py
+++ b/otterglade/core/fleet/members.py
@@ -238,8 +238,8 @@
 
     def _ping(self, now: float, to: str, within: float, **fields: object) -> Message:
         self._questions_made += 1
-        self._questions[self._questions_made] = _Question(to, now + within, **fields)  # type:
-        ignore[arg-type] return self.message(Kind.PING, to, now, question=self._questions_made)
+        self._questions[self._questions_made] = _Question(to, now + within, **fields)  # type: ignore[arg-type]
+        return self.message(Kind.PING, to, now, question=self._questions_made)
 
     def _unanswered(self, now: float, number: int, question: _Question) -> list[Message]:
         if question.asker:
