Membership: messages typed field by field; boots known from before as a floor

A gateway can now be told which boots of others its earlier run knew, so that a restart does not listen to a peer's older run.

--- a/otterglade/core/fleet/members.py
+++ b/otterglade/core/fleet/members.py
@@ -16,7 +16,7 @@
 
 import math
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 from .messages import Kind, Message, Piece, Seen
@@ -71,12 +71,19 @@
     began: float = 0.0
     """When its run began, as it tells."""
     phase: str = ""
+    floor: int = 0
+    """The highest boot of it that an earlier run of this gateway knew: older ones are not listened to."""
     seen: Seen = field(default_factory=Seen)
     hello: float = -math.inf
     """When it was last told that it speaks to another run."""
     knows: int = 0
     """The highest boot of this gateway that it told of."""
 
+    @property
+    def known(self) -> int:
+        """The highest boot of it that is known."""
+        return max(self.floor, self.number[0])
+
 
 @dataclass(frozen=True, slots=True)
 class Change:
@@ -107,11 +114,13 @@
 
     def __init__(
         self, name: str, boot: int, run: str, peers: Iterable[str], now: float, seed: int,
-        pace: Pace | None = None,
+        pace: Pace | None = None, floors: Mapping[str, int] | None = None,
     ) -> None:  # fmt: skip
-        """`boot`: counts this gateway's starts, from 1, and is on its disk before it is used here."""
+        """`boot`: counts this gateway's starts, from 1, and is on its disk before it is used here. `floors`:
+        the highest boots of others that an earlier run knew."""
         self.name, self.boot, self.turn, self.run = name, boot, 0, run
-        self.peers = {x: Peer(x, since=now) for x in sorted(peers) if x != name}
+        floors = floors or {}
+        self.peers = {x: Peer(x, since=now, floor=floors.get(x, 0)) for x in sorted(peers) if x != name}
         if len(self.peers) >= MOST_MEMBERS:
             raise ValueError(f"peers.members: found {len(self.peers)}; allowed: under {MOST_MEMBERS}")
         self.pace = pace or Pace()
@@ -158,14 +167,15 @@
         found, self.changes = self.changes, []
         return found
 
-    def message(self, kind: Kind, to: str, now: float, **fields: object) -> Message:
+    def message(
+        self, kind: Kind, to: str, now: float, question: int = 0, about: str = "", body: bytes = b""
+    ) -> Message:
         """A message of this run, numbered, with words about others on it."""
         self._numbers += 1
         peer = self.peers[to]
         return Message(
-            kind, self.name, self.boot, self.turn, self.run, self._numbers, to, peer.run,
-            age=now - self.began, knows=peer.number[0], phase=self.phase, pieces=self._pieces(to), **fields,
-             # type: ignore[arg-type]
+            kind, self.name, self.boot, self.turn, self.run, self._numbers, to, peer.run, now - self.began,
+            question, about, peer.known, self.phase, self._pieces(to), body,
         )  # fmt: skip
 
     def leave(self, now: float) -> list[Message]:
@@ -291,7 +301,7 @@
             return self._drop("own name")
         if peer is None:
             return self._drop("stranger")
-        if message.boot < peer.number[0] or (
+        if message.boot < peer.known or (
             message.boot == peer.number[0] and peer.run and message.run != peer.run
         ):
             self._drop("old run")
@@ -319,7 +329,7 @@
             return []
         peer.hello = now
         self._numbers += 1
-        known = peer.number[0] if peer.number[0] >= message.boot and peer.run != message.run else 0
+        known = peer.known if peer.known >= message.boot and peer.run != message.run else 0
         return [
             Message(
                 Kind.HELLO, self.name, self.boot, self.turn, self.run, self._numbers, peer.name, message.run,
@@ -329,10 +339,8 @@
 
     def _heard(self, now: float, peer: Peer, message: Message) -> None:
         number = (message.boot, message.turn)
-        if message.run != peer.run:
-            why = "met" if not peer.run else "started anew"
-        else:
-            why = "refuted"
+        known_run = "met" if not peer.run else "started anew"
+        why = "refuted" if message.run == peer.run else known_run
         peer.run, peer.heard, peer.phase = message.run, now, message.phase
         peer.began = now - max(0.0, message.age)
         standing = Standing.LEFT if message.kind is Kind.LEAVE else Standing.ALIVE
@@ -360,6 +368,9 @@
         if peer is None or standing is Standing.UNKNOWN or piece.boot < 1:
             self._drop("word about nobody")
             return
+        if piece.boot < peer.floor:
+            self._drop("old run")
+            return
         word = said(peer.number, standing, number)
         if word in (Said.SUSPECT_NEWER, Said.ALIVE_NEWER, Said.DEAD_NEWER, Said.LEFT_NEWER):
             peer.by = set()
@@ -376,11 +387,12 @@
         """What is said of this gateway: denied with a higher turn, or a sign that it is not the only one."""
         if number[0] > self.boot:
             self.behind = max(self.behind, number[0])
-        elif number[0] == self.boot and standing is not Standing.ALIVE and number[1] >= self.turn:
-            if not self._leaving:
-                self.turn = number[1] + 1
-                self._news[self.name] = 0
-                self._doubt(1)
+        elif number[0] < self.boot or number[1] < self.turn or standing is Standing.ALIVE:
+            return
+        elif not self._leaving:
+            self.turn = number[1] + 1
+            self._news[self.name] = 0
+            self._doubt(1)
 
     def _learn(self, now: float, peer: Peer, word: Said, number: Number, why: str) -> None:
         before = peer.standing
