--- a/otterglade/cli/main.py
+++ b/otterglade/cli/main.py
@@ -46,7 +46,8 @@
 @main.command()
 @click.argument("file", type=click.Path(path_type=Path))
 @click.option("--plant", default="", hidden=True, help="Break a rule on purpose, for the referee's tests.")
-def run(file: Path, plant: str) -> None:
+@click.option("--counted", is_flag=True, hidden=True, help="Count what is synced, for the lab's power loss.")
+def run(file: Path, plant: str, counted: bool) -> None:
     """Run a gateway with the configuration script FILE until SIGTERM."""
     from ..gateway import lifecycle
     from ..gateway.daemon import Gateway
@@ -58,7 +59,12 @@
         raise click.ClickException(str(error)) from error
     log = logger(config.log.level, config.log.form)
     try:
-        gateway = Gateway(config, log)
+        if counted:
+            from ..lab.power import CountingDisk
+
+            gateway = Gateway(config, log, disk=CountingDisk())
+        else:
+            gateway = Gateway(config, log)
     except OSError as error:
         raise click.ClickException(f"{file}: gateway can't start: {error}") from error
     if plant:
@@ -71,7 +77,8 @@
     gateway.start()
     lifecycle.steady()
     host, port = gateway.address
-    _ready(address=f"{host}:{port}", gateway=f"http://{host}:{port}", run=gateway.epoch)
+    more = {} if gateway.peers is None else {"peers": "{}:{}".format(*gateway.peers.address)}
+    _ready(address=f"{host}:{port}", gateway=f"http://{host}:{port}", run=gateway.epoch, **more)
     again = threading.Event()
     signal.signal(signal.SIGHUP, lambda *_: again.set())
     sound = True
--- a/otterglade/config/schema.py
+++ b/otterglade/config/schema.py
@@ -191,6 +191,20 @@
     """Seconds for which an address is good."""
 
 
+class Peers(Block, frozen=True):
+    """Other gateways of the site, which this one speaks to; without this block it speaks to none."""
+
+    listen: Text
+    """Address for their datagrams, as host:port; port 0 lets the system pick."""
+    members: Annotated[dict[Name, str], msgspec.Meta(min_length=1, max_length=4096)]
+    """All gateways of the site by name, this one included, with the address that each listens on: alike in
+    the scripts of all, as they work out from it who witnesses what."""
+    witnesses: Literal[0, 1, 3, 5] = 3
+    """Gateways at which a paid set-up is witnessed, by a majority, before it goes out, so that a viewer is
+    not charged again when hosts and gateways have lost power; 0: none. Odd, and no more than there are
+    members."""
+
+
 class Log(Block, frozen=True):
     """The log on standard error."""
 
@@ -211,6 +225,7 @@
     limits: Limits
     log: Log
     tokens: Tokens | None = None
+    peers: Peers | None = None
 
     def settings(self) -> api.Settings:
         """What the module is told. Raises ValueError naming the field."""
--- a/otterglade/config/script.py
+++ b/otterglade/config/script.py
@@ -15,12 +15,14 @@
 import msgspec
 import starlark
 
+from ..core.fleet.messages import Seal
 from ..core.tokens import Tokens
 from . import schema
 
 ONE: dict[str, type[schema.Block]] = {
     "site": schema.Site, "contract": schema.Contract, "gateway": schema.Gateway, "registry": schema.Registry,
     "reports": schema.Reports, "tokens": schema.Tokens, "limits": schema.Limits, "log": schema.Log,
+    "peers": schema.Peers,
 }  # fmt: skip
 MANY: dict[str, type[schema.Block]] = {"session_class": schema.SessionClass, "title": schema.Title}
 REQUIRED = ("site", "contract", "gateway", "registry", "reports")
@@ -186,9 +188,36 @@
                 f" ({config.limits.margin})"
             )
     token_keys(config)
+    _check_peers(config)
     config.settings()
 
 
+def _check_peers(config: schema.Config) -> None:
+    peers = config.peers
+    if peers is None:
+        return
+    if config.tokens is None:
+        raise ValueError(
+            "peers: found no tokens(...); allowed: with keys, as peers' messages are signed with them"
+        )
+    address(peers.listen, "peers.listen")
+    for name, text in peers.members.items():
+        address(text, f"peers.members.{name}")
+    if config.gateway.name not in peers.members:
+        raise ValueError(f"peers.members: found no {config.gateway.name!r}, which is gateway.name")
+    if len(peers.members) < peers.witnesses:
+        raise ValueError(
+            f"peers.witnesses: found {peers.witnesses}; allowed: at most the {len(peers.members)} members"
+        )
+
+
+def peer_seal(config: schema.Config) -> Seal:
+    """What peers' messages are signed with. Raises ValueError naming the field."""
+    assert config.tokens is not None, "checked"
+    token_keys(config)
+    return Seal({x: bytes.fromhex(y) for x, y in config.tokens.keys.items()}, config.tokens.sign_with)
+
+
 def token_keys(config: schema.Config) -> Tokens | None:
     """The keys of the script, None where it names none. Raises ValueError naming the field."""
     if config.tokens is None:
--- a/otterglade/core/desk.py
+++ b/otterglade/core/desk.py
@@ -12,6 +12,7 @@
 
 from . import interface as api
 from .attempts import Entry, Fate, Settled
+from .fleet.recovery import Returns
 from .held import Held, Phase
 from .messages import (
     Alarm,
@@ -45,6 +46,8 @@
         """Why paid sessions can't be taken now; empty: they can."""
         self.finding: dict[Key, list[tuple[float, Ask]]] = {}
         """Sessions that were open at a kill and are being found out, with who asks for them meanwhile."""
+        self.returns: Returns | None = None
+        """How far this gateway has come back, where it has peers."""
 
     def start(self, now: float) -> list[Order]:
         self._begin(now)
@@ -74,10 +77,20 @@
             self._reply(ask.waiter, Refused(self.settings.max_retry_after, self.paid_refused))
         elif len(self.held) >= self.terms.sessions:
             self._reply(ask.waiter, Refused(self.settings.max_retry_after, "as many sessions as allowed"))
+        elif (away := self._turned_away(ask)) is not None:
+            self._reply(ask.waiter, away)
         else:
             self._take(ask, self._patience(ask.key[1]), None)
         return self._done()
 
+    def _turned_away(self, ask: Ask) -> Refused | None:
+        """While a fleet comes back, those who had no session go behind those who had."""
+        if self.returns is None:
+            return None
+        paid = self.settings.classes[ask.key[1]].effect is not api.Effect.SAFE
+        away = self.returns.away(self.now, paid, self.settings.max_retry_after)
+        return None if away is None else Refused(*away)
+
     def resume(self, now: float, ask: Ask, entry: Entry) -> list[Order]:
         """A viewer comes with the signed address of a session that is not known here.
 
@@ -86,6 +99,8 @@
         if ask.key in self.by_key or ask.key in self.finding or ask.key in self.unsure:
             return self.ask(now, ask)
         self._begin(now)
+        if self.returns is not None:
+            self.returns.returned(now)
         deadline = now + self._patience(ask.key[1])
         self.finding[ask.key] = [(deadline, ask)]
         self._out += [AskFate(entry), Alarm(deadline, AlarmKind.FINDING, ask.waiter)]
@@ -154,12 +169,16 @@
             self._out.append(self._setup_of(held))
         return self._done()
 
-    def unclaimed(self, now: float, session: int, attempt: int) -> list[Order]:
-        """No registrar could be had for a paid attempt: it is not sent, as nobody could know of it."""
+    def unclaimed(self, now: float, session: int, attempt: int, witnesses: str = "") -> list[Order]:
+        """No registrar, or no majority of its witnesses (who, and why not), could be had for a paid
+        attempt: it is not sent, as nobody could know of it."""
         self._begin(now)
         held = self.held.get(session)
         if held is not None and held.out == attempt and not held.sent:
-            self._say("warning", "no_registrar", session=session, server=held.server)
+            if witnesses:
+                self._say("warning", "no_witnesses", session=session, cause=witnesses)
+            else:
+                self._say("warning", "no_registrar", session=session, server=held.server)
             self._attempt_ended(held, api.Outcome.SKIPPED, None)
         self._out.append(Fated(session, attempt, Fate.NEVER_RAN))
         return self._done()
--- /dev/null
+++ b/otterglade/core/fleet/fleet.py
@@ -0,0 +1,166 @@
+"""A gateway's part in the fleet: membership, witnessing for others, and its own questions to witnesses.
+
+One for a run of a gateway, on its decision loop; it says what is to be sent, written and told, and does none
+of it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+import msgspec
+
+from ..attempts import Entry
+from ..claims import Claim
+from .members import Members
+from .messages import Kind, Message
+from .witness import SETTLES, Poll, Settled, Witness, Word, witnesses
+
+AGAIN = 0.08
+"""Seconds after which a witness that has not answered is asked again: ten times what an answer takes with its
+disk, a fifth of what it may take."""
+WITHIN = 0.4
+"""Seconds for witnesses, of a paid viewer's patience."""
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class Keep:
+    """Make a record durable, then tell `kept`; None: nothing to write."""
+
+    record: bytes | None
+    to: str = ""
+    """Who waits for the word; this gateway itself, or empty: nobody."""
+    word: Word | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Polled:
+    """What is known of an attempt's witnesses has changed."""
+
+    setup: str
+
+
+Out = Send | Keep | Polled
+
+
+class Fleet:
+    """See the module's page. Every method takes the time first and returns what is to be done, in order."""
+
+    def __init__(self, members: Members, witness: Witness, gateways: Iterable[str], count: int) -> None:
+        self.members, self.witness = members, witness
+        self._gateways, self._count = tuple(sorted(gateways)), count
+        self._polls: dict[str, Poll] = {}
+        self.polls = 0
+        self.unwitnessed = 0
+        """Attempts for which no majority could be had."""
+
+    def due(self) -> float:
+        """When `tick` has something to do next."""
+        return min((self.members.due(), *(min(x.again, x.until) for x in self._polls.values())))
+
+    def tick(self, now: float) -> list[Out]:
+        out: list[Out] = [Send(x) for x in self.members.tick(now)]
+        for setup, poll in list(self._polls.items()):
+            if now >= poll.until:
+                poll.silent("no answer")
+                out += self._polled(setup, poll)
+            elif now >= poll.again:
+                poll.again = now + AGAIN
+                out += self._asked(now, poll)
+        return out
+
+    def received(self, now: float, message: Message) -> list[Out]:
+        """A message whose seal was good."""
+        taken = sum(self.members.dropped.values())
+        out: list[Out] = [Send(x) for x in self.members.received(now, message)]
+        if sum(self.members.dropped.values()) > taken and message.kind in (
+            Kind.CLAIM, Kind.CLAIMED, Kind.SETTLED
+        ):  # fmt: skip
+            return out
+        try:
+            match message.kind:
+                case Kind.CLAIM:
+                    claim = msgspec.msgpack.decode(message.body, type=Claim)
+                    word, record = self.witness.claim(now, claim)
+                    out += [Keep(record, message.sender, word)] if word is not None else []
+                case Kind.CLAIMED:
+                    out += self._told(message.sender, msgspec.msgpack.decode(message.body, type=Word))
+                case Kind.SETTLED:
+                    settled = msgspec.msgpack.decode(message.body, type=Settled)
+                    out.append(Keep(self.witness.settled(now, settled)))
+        except msgspec.MsgspecError:
+            self.members.dropped["unreadable body"] = self.members.dropped.get("unreadable body", 0) + 1
+        return out
+
+    def kept(self, now: float, keep: Keep, trouble: str = "") -> list[Out]:
+        """A record is durable, or `trouble` says why it can't be: then this gateway abstains."""
+        if keep.word is None:
+            return []
+        word = keep.word
+        if trouble:
+            self.witness.failed(word.setup, trouble)
+            word = Word(word.setup, False, trouble)
+        elif keep.record is not None:
+            self.witness.durable(word.setup)
+        if keep.to == self.members.name:
+            return self._told(keep.to, word)
+        if keep.to not in self.members.peers:
+            return []
+        body = msgspec.msgpack.encode(word)
+        return [Send(self.members.message(Kind.CLAIMED, keep.to, now, body=body))]
+
+    # Own attempts
+
+    def poll(self, now: float, poll: Poll) -> list[Out]:
+        """Ask an attempt's witnesses, this gateway among them where it is one."""
+        poll.again, poll.until = now + AGAIN, now + WITHIN
+        self._polls[poll.claim.setup] = poll
+        self.polls += 1
+        out = self._asked(now, poll)
+        if self.members.name in poll.asked:
+            word, record = self.witness.claim(now, poll.claim)
+            out += [Keep(record, self.members.name, word)] if word is not None else []
+        return out
+
+    def _asked(self, now: float, poll: Poll) -> list[Out]:
+        body = msgspec.msgpack.encode(poll.claim)
+        return [
+            Send(self.members.message(Kind.CLAIM, x, now, body=body))
+            for x in poll.open
+            if x != self.members.name
+        ]
+
+    def _told(self, witness: str, word: Word) -> list[Out]:
+        poll = self._polls.get(word.setup)
+        if poll is None or not poll.told(witness, word):
+            return []
+        return self._polled(word.setup, poll)
+
+    def _polled(self, setup: str, poll: Poll) -> list[Out]:
+        if poll.verdict is None:
+            return []
+        del self._polls[setup]
+        self.unwitnessed += not poll.granted
+        return [Polled(setup)]
+
+    def fated(self, now: float, entry: Entry, session_class: str) -> list[Out]:
+        """What became of an own attempt: its witnesses are told, and nobody waits for it. A word that is lost
+        costs the next claimant a question."""
+        if entry.fate not in SETTLES:
+            return []
+        viewer, _, title = entry.key
+        settled = Settled(viewer, session_class, title, entry.setup, SETTLES[entry.fate])
+        body = msgspec.msgpack.encode(settled)
+        out: list[Out] = []
+        for witness in witnesses((viewer, session_class, title), self._gateways, self._count):
+            if witness == self.members.name:
+                out.append(Keep(self.witness.settled(now, settled)))
+            else:
+                out.append(Send(self.members.message(Kind.SETTLED, witness, now, body=body)))
+        return out
--- a/otterglade/core/keeper.py
+++ b/otterglade/core/keeper.py
@@ -7,15 +7,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 import msgspec
 
 from . import interface as api
 from .attempts import Book, Entry, Fate, Key, Question, Recovery, Settled, Word, resumed
-from .claims import Replaced, Waits, registrars
+from .claims import Replaced, Waits, claim_of, registrars
 from .desk import Desk
+from .fleet.witness import Poll, Verdict, witnesses
 from .held import Phase
 from .messages import AskFate, Commit, Order, SetUp
 
@@ -38,15 +39,22 @@
 class Keeper:
     """One for a run of a gateway; belongs to the decision loop."""
 
-    def __init__(self, run: str, unsure_for: float, find_out: float) -> None:
+    def __init__(
+        self, run: str, unsure_for: float, find_out: float, classes: Sequence[str] = (),
+        gateways: Sequence[str] = (), witness_count: int = 0,
+    ) -> None:  # fmt: skip
         """`run`: NAME.EPOCH, as hosts know it. Seconds for which what may have run keeps its viewer from
-        another set-up, and for which hosts are asked about what was open at the start."""
+        another set-up, and for which hosts are asked about what was open at the start. `gateways`: the names
+        of all that are configured, of which `witness_count` witness each attempt; none: no witnesses."""
         self.run = run
         self._unsure_for, self._find_out = unsure_for, find_out
         self.book = Book(unsure_for)
         self.recovery = Recovery((), 0.0, 0.0)
+        self._classes, self._gateways, self._witness_count = classes, gateways, witness_count
         self.waits: dict[str, Waits] = {}
         """Attempts that wait for the disk and their registrars, by set-up key."""
+        self.polls: dict[str, Poll] = {}
+        """What their witnesses have said so far, where there are any."""
         self.replaced = Replaced()
         self.trouble = ""
         """Why nothing can be written; empty: it can."""
@@ -78,6 +86,10 @@
                 self.replaced.add(setup.key, earlier)
         asked = self.registrars(desk, setup.key)
         self.waits[setup_key] = Waits(setup, entry, set(asked))
+        if self._witness_count:
+            claim = claim_of(entry, self._classes[setup.key[1]], self.replaced.of(setup.key))
+            name = (claim.viewer, claim.session_class, claim.title)
+            self.polls[setup_key] = Poll(claim, tuple(witnesses(name, self._gateways, self._witness_count)))
         return self.book.note(entry), asked, entry
 
     @staticmethod
@@ -106,6 +118,7 @@
         if trouble:
             self.book.entries.pop(setup_key, None)
             del self.waits[setup_key]
+            self.polls.pop(setup_key, None)
             return desk.committed(now, setup.session, setup.attempt, trouble)
         waits.written = True
         return self._ready(desk, now, setup_key, waits)
@@ -119,16 +132,31 @@
             return []
         waits.asked.discard(server)
         waits.granted += granted
-        # Of two claims that stand, one that was not seen to play asks for more care.
+        self._other(waits, other)
+        return self._ready(desk, now, setup_key, waits)
+
+    @staticmethod
+    def _other(waits: Waits, other: Entry | None) -> None:
+        """Of two claims that stand, one that was not seen to play asks for more care."""
         if other is not None and (waits.other is None or other.fate is Fate.BEGUN):
             waits.other = other
+
+    def witnessed(self, desk: Desk, now: float, wall: float, setup_key: str) -> list[Order]:
+        """A witness has answered, or will not any more."""
+        waits, poll = self.waits.get(setup_key), self.polls.get(setup_key)
+        if waits is None or poll is None:
+            return []
+        if poll.other is not None:
+            self._other(waits, poll.other.entry(waits.setup.key[1], wall))
         return self._ready(desk, now, setup_key, waits)
 
     def _ready(self, desk: Desk, now: float, setup_key: str, waits: Waits) -> list[Order]:
         """Once disk and registrars have answered: send it, give way to another's, or send nothing."""
-        if not waits.settled:
+        poll = self.polls.get(setup_key)
+        if not waits.settled or (poll is not None and poll.verdict is None):
             return []
         del self.waits[setup_key]
+        self.polls.pop(setup_key, None)
         setup = waits.setup
         if waits.other is not None:
             orders = desk.contested(now, setup.session, setup.attempt)
@@ -139,6 +167,8 @@
             return orders
         if not waits.granted and desk.terms.registrars:
             return desk.unclaimed(now, setup.session, setup.attempt)
+        if poll is not None and poll.verdict is Verdict.SHORT:
+            return desk.unclaimed(now, setup.session, setup.attempt, str(poll.refused))
         return desk.committed(now, setup.session, setup.attempt)
 
     def fated(self, setup_key: str, fate: Fate, wall: float) -> tuple[bytes | None, Entry | None]:
--- a/otterglade/gateway/daemon.py
+++ b/otterglade/gateway/daemon.py
@@ -13,11 +13,12 @@
 
 from ..config import schema
 from ..config.schema import Config
-from ..config.script import address, token_keys
+from ..config.script import address, peer_seal, token_keys
 from ..core import carryover
 from ..core import interface as api
 from ..core import messages as d
 from ..core.desk import Desk
+from ..core.fleet.recovery import Event as Returned
 from ..core.policy import Controller
 from ..core.sessions import Decider
 from ..core.tokens import Tokens
@@ -28,6 +29,7 @@
 from ..obs.logs import Log, on_failure
 from ..store.disk import Disk
 from ..store.ring import Ring
+from ..store.small import replace_file
 from ..wire import http1
 from .fleet import Cache, Clock, HostList, ListError, server_list
 from .front import Front, Offer
@@ -35,6 +37,7 @@
 from .journal import Journal
 from .lifecycle import IN_SERVICE, Lock, needs_restart
 from .loop import Loop
+from .peers import PeerClient
 from .record import Recorder
 from .registry import RegistryClient
 from .sessions import Sessions
@@ -68,15 +71,7 @@
     except FileNotFoundError:
         pass
     made = secrets.token_bytes(32)
-    beside = path.with_suffix(".new")
-    beside.unlink(missing_ok=True)
-    fd = os.open(beside, os.O_WRONLY | os.O_CREAT | os.O_EXCL | os.O_CLOEXEC, 0o600)
-    try:
-        os.write(fd, made)
-        os.fsync(fd)
-    finally:
-        os.close(fd)
-    beside.replace(path)
+    replace_file(path, made)
     return made
 
 
@@ -138,7 +133,18 @@
         self.journal = Journal(
             folder / "attempts", loop=lambda: self.loop, hosts=self.hosts, log=self.log,
             on_failure=self._failed, unsure_for=self.desk.terms.unsure_for, disk=disk,
+            classes=tuple(x.name for x in config.classes),
+            gateways=() if config.peers is None else tuple(config.peers.members),
+            witnesses=0 if config.peers is None else config.peers.witnesses, peers=lambda: self.peers,
         )  # fmt: skip
+        self.peers: PeerClient | None = None
+        if config.peers is not None:
+            self.peers = PeerClient(
+                config.peers, name=config.gateway.name, run=self.epoch, folder=folder, seal=peer_seal(config),
+                seed=self._seed + 2, unsure_for=self.desk.terms.unsure_for, loop=lambda: self.loop,
+                polled=self.journal.polled, settled=lambda: not self.journal.recovery.open,
+                epochs=self.hosts.epochs, log=self.log, on_failure=self._failed, disk=disk,
+            )  # fmt: skip
         self.front = Front(
             offer=Offer(
                 {x.name: n for n, x in enumerate(config.classes)}, frozenset(x.name for x in config.titles),
@@ -181,6 +187,8 @@
 
     def start(self) -> None:
         self.journal.open()
+        if self.peers is not None:
+            self.peers.open(time.monotonic())
         self.loop.start()
         self.loop.put(self.journal.prepare)
         self._found = self._load_carried()
@@ -197,9 +205,13 @@
         if cached is not None:
             self.log.info("cached_list", index=cached.index, hosts=len(cached.hosts))
             self._tell_list(cached, cached=True)
+        if self.peers is not None:
+            self.peers.start()
+            self.peers.ready.wait()  # bounded by its own step
         self.registry.start()
         if not self._listed.wait(FIRST_LIST):
             self.log.warning("no_host_list", waited=FIRST_LIST)  # players are refused until there is one
+        self.loop.put(self._has_list)
         self.journal.find_out()
         self.phase = "taking"
         spawn("sweep", self._sweep, self._failed)
@@ -223,6 +235,8 @@
         answered = done.wait(max(1.0, deadline - time.monotonic()))
         released = self.hosts.stop(max(1.0, deadline - time.monotonic()))
         self._stopped.set()
+        if self.peers is not None:
+            self.peers.stop()
         self.loop.put(self._close_store)
         self.loop.stop()
         self.listener.wait_empty(min(deadline, time.monotonic() + 0.5))
@@ -285,6 +299,7 @@
             "loop_lag_s": round(self.loop.lag, 4),
             "pauses": self.loop.pauses,
             "registry_age_s": None if last is None else round(time.monotonic() - last, 3),
+            **({} if self.peers is None else {"fleet": self.peers.status()}),
             "hosts": {
                 x.listed.name: {"state": x.listed.state, "playing": len(self.desk.at.get(number, ()))}
                 for number, x in self.hosts.hosts.items()
@@ -400,10 +415,20 @@
             self.log.info("budget_resumed", further=count)
         return []
 
+    def _has_list(self, desk: Desk, now: float) -> list[d.Order]:
+        if self.peers is not None:
+            self.peers.tell(desk, now, Returned.LISTED)
+        return []
+
     def _close_store(self, desk: Desk, now: float) -> list[d.Order]:
         self.journal.close()
         return []
 
+    def _follow(self, orders: list[d.Order]) -> None:
+        """What an order has led to at once: after what is under way, as any other input."""
+        if orders:
+            self.loop.put(lambda desk, now: orders)
+
     def _carry(self, order: d.Order) -> None:
         """Carry out an order of the desk; on the decision loop, so nothing here waits."""
         match order:
@@ -412,14 +437,14 @@
             case d.SetUp():
                 self.hosts.set_up(order)
             case d.Commit():
-                self.journal.commit(self.desk, order)
+                self._follow(self.journal.commit(self.desk, self.desk.now, order))
             case d.Spent():
                 if self._spends is not None:
                     self._spends.put(order.number, time.time())
             case d.AskFate():
                 self.journal.resume(order)
             case d.Fated():
-                self.journal.fated(self.desk, order)
+                self._follow(self.journal.fated(self.desk, self.desk.now, order))
             case d.Cut():
                 self.hosts.cut(order)
             case d.Release():
--- a/otterglade/gateway/fleet.py
+++ b/otterglade/gateway/fleet.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
-import os
 import time
 from dataclasses import dataclass
 from pathlib import Path
@@ -12,6 +10,7 @@
 import msgspec
 
 from ..core import interface as api
+from ..store.small import replace_file
 
 
 class Listed(msgspec.Struct, frozen=True, kw_only=True):
@@ -109,14 +108,4 @@
 
     def save(self, listed: HostList) -> None:
         """Replace it in one step: a kill leaves the old list or the new one, never half. Raises OSError."""
-        beside = self._path.with_suffix(".new")
-        try:
-            with beside.open("wb") as file:
-                file.write(msgspec.json.encode(listed))
-                file.flush()
-                os.fsync(file.fileno())
-            beside.replace(self._path)
-        except OSError:
-            with contextlib.suppress(OSError):  # the first error is the one that tells
-                beside.unlink()
-            raise
+        replace_file(self._path, msgspec.json.encode(listed))
--- a/otterglade/gateway/journal.py
+++ b/otterglade/gateway/journal.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from pathlib import Path
 
 from ..core import messages as d
@@ -16,6 +16,7 @@
 from ..store.log import DamagedError, Log
 from .hosts import HostClient
 from .loop import Loop
+from .peers import PeerClient
 
 FIND_OUT = 10.0
 """Seconds for which hosts are asked about an attempt; then it counts as unsure."""
@@ -28,12 +29,15 @@
 
     def __init__(
         self, folder: Path, *, loop: Callable[[], Loop], hosts: HostClient, log: Logger, on_failure: Failure,
-        unsure_for: float, disk: Disk | None = None,
+        unsure_for: float, disk: Disk | None = None, classes: Sequence[str] = (),
+        gateways: Sequence[str] = (), witnesses: int = 0,
+        peers: Callable[[], PeerClient | None] = lambda: None,
     ) -> None:  # fmt: skip
         self._folder, self._loop, self._hosts = folder, loop, hosts
         self._logger, self._on_failure, self._disk = log, on_failure, disk
         self._log: Log | None = None
-        self.keeper = Keeper(hosts.run, unsure_for, FIND_OUT)
+        self._classes, self._peers = classes, peers
+        self.keeper = Keeper(hosts.run, unsure_for, FIND_OUT, classes, gateways, witnesses)
 
     @property
     def book(self) -> Book:
@@ -116,8 +120,9 @@
             self._hosts.release_key(entry.server, entry.setup, done.release_as)
         return done.orders
 
-    def commit(self, desk: Desk, order: d.Commit) -> None:
-        """Write an attempt down and claim it; the desk is told once both are done, or why they can't be."""
+    def commit(self, desk: Desk, now: float, order: d.Commit) -> list[d.Order]:
+        """Write an attempt down, claim it and have it witnessed; the desk is told once all are done, or why
+        they can't be."""
         setup = order.setup
         key = self._hosts.setup_key(setup.session, setup.attempt)
         record, asked, entry = self.keeper.commit(desk, order, key, self._hosts.epochs, time.time())
@@ -134,6 +139,12 @@
         replaces = self.keeper.replaced.of(entry.key)
         for server in asked:
             self._hosts.claim(server, entry, replaces, self._told_claim(key, server))
+        peers, poll = self._peers(), self.keeper.polls.get(key)
+        return [] if peers is None or poll is None else peers.poll(desk, now, poll)
+
+    def polled(self, desk: Desk, now: float, setup_key: str) -> list[d.Order]:
+        """An attempt's witnesses have answered, or will not."""
+        return self.keeper.witnessed(desk, now, time.time(), setup_key)
 
     def _told_claim(self, key: str, server: int) -> Callable[[bool, Entry | None], None]:
         """For a thread of the hosts' pool to call with a registrar's word."""
@@ -147,7 +158,7 @@
         self._say_trouble(trouble)
         return self.keeper.written(desk, now, setup, key, trouble)
 
-    def fated(self, desk: Desk, order: d.Fated) -> None:
+    def fated(self, desk: Desk, now: float, order: d.Fated) -> list[d.Order]:
         """Write what became of an attempt. Nobody waits for it: without it a start finds out by asking.
 
         Its claims follow: told that its viewer has seen it, given back where nothing of it matters any more.
@@ -164,6 +175,10 @@
                     self._hosts.unclaim(server, entry)
         if order.fate in (Fate.OVER, Fate.TAKEN):
             self._hosts.forget(order.session)
+        peers = self._peers()
+        if entry is None or peers is None:
+            return []
+        return peers.fated(desk, now, entry, self._classes[entry.key[1]])
 
     def _write(self, record: bytes | None) -> None:
         if record is None or self._log is None:
--- a/otterglade/gateway/loop.py
+++ b/otterglade/gateway/loop.py
@@ -44,7 +44,7 @@
         self.desk, self._carry, self._on_failure, self._clock = desk, carry, on_failure, clock
         self._inbox: queue.SimpleQueue[Input | None] = queue.SimpleQueue()
         self._chores: deque[Input] = deque()
-        self._alarms: list[tuple[float, int, d.Alarm]] = []
+        self._alarms: list[tuple[float, int, d.Alarm | Input]] = []
         self._order = itertools.count()
         self.inputs = 0
         self.busy = 0.0
@@ -61,6 +61,10 @@
         """Hand in; from any thread, never blocks."""
         self._inbox.put(work)
 
+    def at(self, when: float, work: Input) -> None:
+        """Do something at a time; from the loop's own thread, or before it starts."""
+        heapq.heappush(self._alarms, (when, next(self._order), work))
+
     def put_behind(self, work: Iterable[Input]) -> None:
         """Hand in what nobody waits for: done one by one, between what others wait for."""
         self._chores.extend(work)
@@ -128,7 +132,10 @@
             due.append(heapq.heappop(self._alarms))
         for at, _, alarm in due:
             self.lag = now - at
-            self._orders(self.desk.alarm(now, alarm))
+            if isinstance(alarm, d.Alarm):
+                self._orders(self.desk.alarm(now, alarm))
+            else:
+                self._orders(alarm(self.desk, now))
         self.busy += time.thread_time() - began
 
     def _orders(self, orders: list[d.Order]) -> None:
--- /dev/null
+++ b/otterglade/gateway/peers.py
@@ -0,0 +1,441 @@
+"""Datagrams between gateways: carries out what `core/fleet` says, and keeps what this gateway witnesses.
+
+One thread reads, checks seals and hands in; all else is on the decision loop. What floods is dropped
+unread: each sender has a bucket, and so many inputs at most wait for the loop at once, so that players
+never wait behind them.
+"""
+
+from __future__ import annotations
+
+import socket
+import threading
+import time
+from collections.abc import Callable, Mapping
+from pathlib import Path
+
+import msgspec
+
+from ..config.schema import TOKEN_LIFE, Peers
+from ..config.script import address
+from ..core import messages as d
+from ..core.attempts import Entry
+from ..core.desk import Desk
+from ..core.fleet.fleet import Fleet, Keep, Out, Polled, Send
+from ..core.fleet.members import Members
+from ..core.fleet.messages import MOST, Message, Seal, SealError
+from ..core.fleet.recovery import Event, Phase, Returns, what_happened
+from ..core.fleet.standing import Standing
+from ..core.fleet.witness import Poll, Witness, WitnessError
+from ..net.threads import Failure, spawn
+from ..net.workers import Workers
+from ..obs.logs import Log as Logger
+from ..store.disk import Disk
+from ..store.log import DamagedError, Log
+from . import identity
+from .loop import Loop
+
+RATE = 200.0
+"""Datagrams a second from one address, with as many at once: twenty times what a member sends."""
+WAITING = 64
+"""Datagrams that wait for the decision loop at most."""
+TICK = 0.25
+"""Seconds between two looks at how far the return has come."""
+HEARD_IN = 0.6
+"""Seconds for hosts' event streams to tell which run they are; who has not by then tells nothing."""
+LEAST = 0.005
+"""Seconds to the next alarm at least."""
+
+
+class Bucket:
+    """What senders may send; bounded, as addresses can be made up."""
+
+    MOST = 4096
+
+    def __init__(self, rate: float) -> None:
+        self._rate = rate
+        self._left: dict[tuple[str, int], tuple[float, float]] = {}
+
+    def take(self, sender: tuple[str, int], now: float) -> bool:
+        if sender not in self._left and len(self._left) >= self.MOST:
+            self._left.clear()
+        left, at = self._left.get(sender, (self._rate, now))
+        left = min(self._rate, left + (now - at) * self._rate)
+        self._left[sender] = (left - 1.0 if left >= 1.0 else left, now)
+        return left >= 1.0
+
+
+class PeerClient:
+    """A gateway's part in the fleet. `open` before the loop runs, `start` after."""
+
+    def __init__(
+        self, config: Peers, *, name: str, run: str, folder: Path, seal: Seal, seed: int, unsure_for: float,
+        loop: Callable[[], Loop], polled: Callable[[Desk, float, str], list[d.Order]],
+        settled: Callable[[], bool], epochs: Mapping[int, str], log: Logger,
+        on_failure: Failure, disk: Disk | None = None,
+    ) -> None:  # fmt: skip
+        """`polled`: told when an attempt's witnesses have answered. `settled`: whether all that was open at
+        the start is found out. `epochs`: of the hosts' present runs. Raises OSError where the address can't
+        be had."""
+        self._config, self._name, self._run, self._folder = config, name, run, folder
+        self._seal, self._seed, self._unsure_for = seal, seed, unsure_for
+        self._loop, self._polled, self._logger = loop, polled, log
+        self._settled, self._epochs = settled, epochs
+        self._on_failure, self._disk = on_failure, disk
+        self._addresses = {x: address(y, f"peers.members.{x}") for x, y in config.members.items()}
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            self._socket.bind(address(config.listen, "peers.listen"))
+        except OSError:
+            self._socket.close()
+            raise
+        self._saves = Workers("identity", 1, on_failure)
+        self._witness = Witness(unsure_for, TOKEN_LIFE)
+        self._log: Log | None = None
+        self._identity = identity.Identity()
+        self.fleet: Fleet | None = None
+        self.returns: Returns | None = None
+        self.ready = threading.Event()
+        """Peers are met, or given up."""
+        self._sound_at = 0.0
+        self._waiting = 0
+        self._stopped = False
+        self._alarm = float("inf")
+        self.received = self.sent = self.sent_bytes = self.flooded = 0
+        self.unsealed: dict[str, int] = {}
+        self._hosts_before: dict[int, str] = {}
+
+    @property
+    def address(self) -> tuple[str, int]:
+        host, port = self._socket.getsockname()
+        return host, port
+
+    # Start
+
+    def open(self, now: float) -> None:
+        """Count this start, durable, and read what is witnessed. Raises OSError, identity.IdentityError."""
+        found = identity.load(self._folder)
+        self._identity = msgspec.structs.replace(found, boot=found.boot + 1)
+        identity.save(self._folder, self._identity)
+        self._hosts_before = {int(x): y for x, y in found.hosts.items()}
+        self.returns = Returns(now, self._seed)
+        if found.forgetful:
+            self._abstain(now, "what it witnessed may be forgotten")
+        try:
+            self._folder.joinpath("witness").mkdir(exist_ok=True)
+            self._log, records = Log.open(self._folder / "witness", self._on_failure, disk=self._disk)
+            self._witness.restore((*records.snapshot, *records.records), now)
+        except (OSError, DamagedError, WitnessError) as error:
+            self._witness.abstains = f"the witness's log can't be used: {error}"
+            self._logger.error("witness_unusable", cause=str(error))
+        self._make(now)
+        self._logger.info(
+            "peers_open",
+            boot=self._identity.boot,
+            witnessed=len(self._witness.kept),
+            forgetful=found.forgetful,
+        )
+
+    def _make(self, now: float) -> None:
+        members = Members(
+            self._name, self._identity.boot, self._run, self._addresses, now, self._seed +
+            self._identity.boot, floors=self._identity.others,
+        )  # fmt: skip
+        self.fleet = Fleet(members, self._witness, self._addresses, self._config.witnesses)
+
+    def _abstain(self, now: float, why: str) -> None:
+        self._witness.abstains = why
+        self._sound_at = now + self._unsure_for
+
+    def start(self) -> None:
+        """Begin to speak and listen. The phases begin with what was read."""
+        spawn("peers", self._read, self._on_failure)
+
+        def begin(desk: Desk, now: float) -> list[d.Order]:
+            desk.returns = self.returns
+            self.tell(desk, now, Event.READ)
+            self._look(desk, now)
+            return self._carry(desk, now, [])
+
+        self._loop().put(begin)
+
+    def stop(self) -> None:
+        """Say that this gateway stops; on the loop."""
+        self._stopped = True
+
+        def leave(desk: Desk, now: float) -> list[d.Order]:
+            assert self.fleet is not None, "opened before"
+            for message in self.fleet.members.leave(now):
+                self._send(message)
+            if self._log is not None:
+                self._log.close()
+            self._socket.close()
+            return []
+
+        self._loop().put(leave)
+
+    # The reading thread
+
+    def _read(self) -> None:
+        bucket = Bucket(RATE)
+        while not self._stopped:
+            try:
+                data, sender = self._socket.recvfrom(MOST + 1)
+            except OSError:
+                if self._stopped:
+                    return
+                continue  # a peer's port that is closed, told by the kernel: its silence says the same
+            if not bucket.take(sender, time.monotonic()) or self._waiting >= WAITING:
+                self.flooded += 1
+                continue
+            try:
+                message = self._seal.open(data)
+            except SealError as error:
+                self.unsealed[str(error)[:40]] = self.unsealed.get(str(error)[:40], 0) + 1
+                continue
+            self.received += 1
+            self._waiting += 1
+            self._loop().put(self._taking(message))
+
+    def _taking(self, message: Message) -> Callable[[Desk, float], list[d.Order]]:
+        def take(desk: Desk, now: float) -> list[d.Order]:
+            self._waiting -= 1
+            assert self.fleet is not None, "opened before"
+            return self._carry(desk, now, self.fleet.received(now, message))
+
+        return take
+
+    # On the loop
+
+    def _carry(self, desk: Desk, now: float, out: list[Out]) -> list[d.Order]:
+        """Carry out what the fleet's part says; the orders of the desk that come of it."""
+        orders: list[d.Order] = []
+        for one in out:
+            match one:
+                case Send(message):
+                    self._send(message)
+                case Keep():
+                    orders += self._keep(desk, now, one)
+                case Polled(setup):
+                    orders += self._polled(desk, now, setup)
+        self._changed(desk, now)
+        self._alarm_at(now)
+        return orders
+
+    def _send(self, message: Message) -> None:
+        try:
+            data = self._seal.close(message)
+            self.sent_bytes += self._socket.sendto(data, self._addresses[message.to])
+            self.sent += 1
+        except (OSError, ValueError) as error:
+            self._logger.debug("peer_unsent", to=message.to, cause=str(error))
+
+    def _keep(self, desk: Desk, now: float, keep: Keep) -> list[d.Order]:
+        assert self.fleet is not None, "opened before"
+        if keep.record is None:
+            return self._carry(desk, now, self.fleet.kept(now, keep))
+        if self._log is None:
+            return self._carry(desk, now, self.fleet.kept(now, keep, self._witness.abstains or "no log"))
+
+        def done(error: OSError | None) -> None:
+            trouble = "" if error is None else f"claims can't be recorded: {error}"
+            self._loop().put(lambda desk, now: self._kept(desk, now, keep, trouble))
+
+        self._log.append(keep.record, done)
+        if self._witness.wants_snapshot():
+            self._log.compact(self._witness.snapshot())
+        return []
+
+    def _kept(self, desk: Desk, now: float, keep: Keep, trouble: str) -> list[d.Order]:
+        assert self.fleet is not None, "opened before"
+        if trouble:
+            self._logger.error("witness_unusable", cause=trouble)
+        return self._carry(desk, now, self.fleet.kept(now, keep, trouble))
+
+    def _alarm_at(self, now: float) -> None:
+        """Have the loop ring when something is due, if it does not ring before."""
+        assert self.fleet is not None, "opened before"
+        due = max(self.fleet.due(), now + LEAST)
+        if due < self._alarm and not self._stopped:
+            self._alarm = due
+            self._loop().at(due, self._rang)
+
+    def _rang(self, desk: Desk, now: float) -> list[d.Order]:
+        self._alarm = float("inf")
+        if self._stopped:
+            return []
+        assert self.fleet is not None, "opened before"
+        return self._carry(desk, now, self.fleet.tick(now))
+
+    def poll(self, desk: Desk, now: float, poll: Poll) -> list[d.Order]:
+        """Ask an attempt's witnesses."""
+        assert self.fleet is not None, "opened before"
+        return self._carry(desk, now, self.fleet.poll(now, poll))
+
+    def fated(self, desk: Desk, now: float, entry: Entry, session_class: str) -> list[d.Order]:
+        """Tell an attempt's witnesses what became of it."""
+        assert self.fleet is not None, "opened before"
+        return self._carry(desk, now, self.fleet.fated(now, entry, session_class))
+
+    def _changed(self, desk: Desk, now: float) -> None:
+        assert self.fleet is not None, "opened before"
+        members = self.fleet.members
+        changes = members.drained()
+        for change in changes:
+            level = "warning" if change.after in (Standing.SUSPECT, Standing.DEAD) else "info"
+            getattr(self._logger, level)(
+                "peer", peer=change.name, before=change.before.value, after=change.after.value, why=change.why
+            )
+        if members.behind >= members.boot:
+            self._behind(desk, now, members)
+        elif all(x.standing is not Standing.UNKNOWN for x in members.peers.values()):
+            self.tell(desk, now, Event.MET)
+        if any(x.after is Standing.ALIVE for x in changes):
+            self._know(members)
+
+    def _behind(self, desk: Desk, now: float, members: Members) -> None:
+        """Others know a later start of this name. Before anybody has taken a word of this run it is an old or
+        empty disk: this start gets a later count, and abstains. After, another process has the name."""
+        if members.met:
+            if self.returns is not None and self.returns.phase is not Phase.ASIDE:
+                self._logger.error("superseded", boot=members.boot, later=members.behind)
+                self.tell(desk, now, Event.SUPERSEDED)
+            return
+        before = self._identity
+        self._identity = msgspec.structs.replace(before, boot=members.behind + 1, forgetful=True)
+        if (
+            not self._save()
+        ):  # a count that is not on disk may be used twice: nobody listens to this one until then
+            self._identity = before
+            return
+        self._logger.warning("old_disk", boot=members.boot, known=members.behind)
+        self._abstain(now, "its disk is older than its name: what it witnessed may be forgotten")
+        self._make(now)
+        assert self.fleet is not None, "just made"
+        self.fleet.members.phase = members.phase
+
+    def _know(self, members: Members) -> None:
+        """Keep the highest boots of others, for the next run."""
+        others = {x.name: x.known for x in members.peers.values() if x.known}
+        if others == self._identity.others:
+            return
+        self._identity = msgspec.structs.replace(self._identity, others=others)
+        self._save_behind()
+
+    def _save_behind(self) -> None:
+        """Keep what the next run should know of others, not on the loop: a disk may take its time. Without it
+        that run listens to a peer's old run until it hears of the new one, and takes hosts for new."""
+
+        def save() -> None:
+            self._save()
+
+        self._saves.submit(save)
+
+    def _save(self) -> bool:
+        try:
+            identity.save(self._folder, self._identity)
+        except OSError as error:
+            self._logger.warning("identity_not_kept", cause=str(error))
+            return False
+        return True
+
+    # Coming back
+
+    def tell(self, desk: Desk, now: float, event: Event) -> None:
+        """Something of the return has come about."""
+        assert self.returns is not None, "opened before"
+        if self.returns.tell(now, event):
+            self._stepped(desk, now)
+
+    def _look(self, desk: Desk, now: float) -> list[d.Order]:
+        """Time passes: steps have bounds, and a forgetful witness remembers enough again some time."""
+        if self._stopped:
+            return []
+        assert self.returns is not None, "opened before"
+        if self.returns.tick(now):
+            self._stepped(desk, now)
+        if self._sound_at and now >= self._sound_at:
+            self._sound_at, self._witness.abstains = 0.0, ""
+            self._identity = msgspec.structs.replace(self._identity, forgetful=False)
+            self._save_behind()
+        if self.returns.phase is Phase.ATTEMPTS and self._found(desk, now):
+            self.tell(desk, now, Event.FOUND)
+        self._keep_hosts()
+        self._loop().at(now + TICK, self._look)
+        return []
+
+    def _stepped(self, desk: Desk, now: float) -> None:
+        assert self.returns is not None and self.fleet is not None, "opened before"
+        returns, members = self.returns, self.fleet.members
+        if returns.phase is not Phase.PEERS:
+            self.ready.set()
+        heard = [x for x in members.peers.values() if x.heard > 0 and x.standing is Standing.ALIVE]
+        ages = {x.name: now - x.began for x in heard}
+        behind = members.boot - 1 if self._identity.forgetful else 0
+        returns.start = what_happened(
+            members.boot, behind, ages, now - members.began, len(members.peers), self._hosts_anew(),
+            returns.bounds,
+        )  # fmt: skip
+        members.phase = returns.phase.value
+        left, seconds, why = returns.history[-1]
+        self._logger.info(
+            "phase", left=left.value, after_s=round(seconds, 3), why=why, phase=returns.phase.value,
+            start=returns.start.value,
+        )  # fmt: skip
+
+    def _hosts_anew(self) -> tuple[int, int]:
+        """Of the hosts whose run an earlier run of this gateway knew and this one does: how many, and how
+        many have started anew since."""
+        both = [x for x in self._hosts_before if x in self._epochs]
+        return len(both), sum(self._hosts_before[x] != self._epochs[x] for x in both)
+
+    def _found(self, desk: Desk, now: float) -> bool:
+        """Whether what was open is found out, and the hosts have told whether they ran on."""
+        if not self._settled() or self.returns is None:
+            return False
+        known, _ = self._hosts_anew()
+        return known == len(self._hosts_before) or now - self.returns.since > HEARD_IN
+
+    def _keep_hosts(self) -> None:
+        """Keep which runs of hosts there are, for the next run: told from these, not from a clock, whether
+        the power was gone there too."""
+        now = {**self._hosts_before, **self._epochs}
+        if now == self._hosts_before or self.returns is None or self.returns.phase is not Phase.SERVICE:
+            return
+        self._hosts_before = now
+        self._identity = msgspec.structs.replace(self._identity, hosts={str(x): y for x, y in now.items()})
+        self._save_behind()
+
+    def status(self) -> dict[str, object]:
+        """This gateway's view, for operators; read without a lock and may be a moment old."""
+        if self.fleet is None or self.returns is None:
+            return {}
+        members, now = self.fleet.members, time.monotonic()
+        return {
+            "boot": members.boot,
+            "phase": self.returns.phase.value,
+            "since_s": round(now - self.returns.since, 3),
+            "start": None if self.returns.start is None else self.returns.start.value,
+            "steps": [
+                {"phase": x.value, "seconds": round(y, 3), "ended_by": z} for x, y, z in
+                list(self.returns.history)
+            ],
+            "turned_away": self.returns.turned_away,
+            "health": members.health,
+            "abstains": self._witness.abstains,
+            "witnessed": len(self._witness.kept),
+            "polls": self.fleet.polls,
+            "unwitnessed": self.fleet.unwitnessed,
+            "sent": self.sent,
+            "sent_bytes": self.sent_bytes,
+            "received": self.received,
+            "flooded": self.flooded,
+            "dropped": dict(members.dropped) | dict(self.unsealed),
+            "peers": {
+                x.name: {
+                    "standing": x.standing.value, "since_s": round(now - x.since, 3), "why": x.why,
+                    "boot": x.number[0], "phase": x.phase,
+                    "heard_s": round(now - x.heard, 3) if x.run and x.heard > 0 else None,
+                }
+                for x in list(members.peers.values())
+            },
+        }  # fmt: skip
--- a/otterglade/lab/day.py
+++ b/otterglade/lab/day.py
@@ -5,6 +5,7 @@
 import functools
 import heapq
 import itertools
+import random
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -29,7 +30,7 @@
             ) for x in layout.classes
         },
         grace=layout.grace, ladder_worth=layout.worth, budget_window=window, budget_free=free,
-        budget_share=share,
+        budget_share=share, over_deaths=layout.peers and layout.witnesses > 0,
     )  # fmt: skip
 
 
@@ -63,6 +64,12 @@
 
     def carry(self, trouble: Trouble) -> None:
         """Let a trouble happen; what is down already can't be troubled further, which is noted."""
+        if trouble.kind in ("power", "power_half", "restart_half"):
+            self._power(trouble)
+            return
+        if trouble.kind.startswith("links"):
+            self._links(trouble)
+            return
         part = ("gateway" if trouble.kind.startswith("gateway") else "host", trouble.target)
         if trouble.kind not in ("registry_outage", "late_list"):
             if part in self.down:
@@ -105,6 +112,50 @@
         else:
             stage.fault(stage.hosts[target].address, trouble.kind, seconds, trouble.value)
 
+    def _power(self, trouble: Trouble) -> None:
+        """Everything, or a half drawn by the seed, ends at one instant and comes back together;
+        `restart_half` has only gateways end, and loses nothing that the kernel has."""
+        stage, everything = self.stage, trouble.kind == "power"
+        draw = random.Random(f"{stage.seed} {trouble.at}")
+        gateways = [x for x in stage.gateways if ("gateway", x) not in self.down]
+        hosts = [x for x in stage.hosts if ("host", x) not in self.down]
+        if not everything:
+            gateways = draw.sample(gateways, (len(gateways) + 1) // 2)
+            hosts = [] if trouble.kind == "restart_half" else draw.sample(hosts, (len(hosts) + 1) // 2)
+        parts = {*(("gateway", x) for x in gateways), *(("host", x) for x in hosts)}
+        self.down |= parts
+        stage.record.write(
+            "trouble", kind=trouble.kind, gateways=gateways, hosts=hosts, seconds=trouble.seconds
+        )
+        if trouble.kind == "restart_half":
+            for number in gateways:
+                stage.kill_gateway(number)
+        else:
+            stage.power_loss(gateways, hosts, registry=everything)
+
+        def back() -> None:
+            self.down -= parts
+            stage.power_back(gateways, hosts, registry=everything)
+
+        self.later(trouble.seconds, back)
+
+    def _links(self, trouble: Trouble) -> None:
+        """Faults on the links between gateways: `links` loses, doubles and delays, `links_deaf` has one
+        gateway hear nobody, `links_part` parts the fleet in two halves."""
+        links = self.stage.links
+        if links is None:
+            self.skipped.append(f"{trouble.kind} at {trouble.at:.1f} s: the gateways do not speak")
+            return
+        self.stage.record.write("trouble", kind=trouble.kind, target=trouble.target, value=trouble.value)
+        names = list(links.members)
+        if trouble.kind == "links":
+            links.command(lost=trouble.value, doubled=trouble.value, late=2.0 * trouble.value)
+        elif trouble.kind == "links_deaf":
+            links.command(cut={(x, names[trouble.target]) for x in names})
+        else:
+            links.part(names[::2], names[1::2])
+        self.later(trouble.seconds, links.heal)
+
     def _registry_late(self, late: float) -> None:
         assert self.stage.registry is not None, "started before"
         self.stage.fault(self.stage.registry.address, "late", value=late)
@@ -120,7 +171,7 @@
 
     Raises StageError where a process does not come up.
     """
-    stage = Stage(day.layout, folder, seed, plant)
+    stage = Stage(day.layout, folder, seed, plant, counted=day.layout.peers)
     order = itertools.count()
     heap: list[tuple[float, int, Callable[[], None]]] = []
 
--- /dev/null
+++ b/otterglade/lab/power.py
@@ -0,0 +1,93 @@
+"""Power loss: what a gateway had not synced is gone. The layer under the real program that keeps count of it.
+
+A process that is killed loses nothing: the kernel has its bytes. So the layer notes in a file beside each
+log how many of its bytes are synced, before the sync is told; when the power goes, the lab cuts the logs to
+that, with a torn rest of what was not. Files and names whose folder was not synced go with it. What the
+program keeps without a sync (`carryover`, `spent`) is dropped or torn.
+"""
+
+from __future__ import annotations
+
+import os
+import random
+from pathlib import Path
+
+from ..store.disk import RealDisk
+
+MARK = ".synced"
+
+
+class CountingDisk(RealDisk):
+    """Notes what is synced. A mark is written after the sync and before it is told, so that it never says
+    more."""
+
+    def __init__(self) -> None:
+        self._paths: dict[int, Path] = {}
+
+    def create(self, path: Path) -> int:
+        fd = super().create(path)
+        self._paths[fd] = path
+        self._mark(path, 0)
+        return fd
+
+    def open(self, path: Path) -> int:
+        fd = super().open(path)
+        self._paths[fd] = path
+        return fd
+
+    def sync(self, fd: int) -> None:
+        super().sync(fd)
+        self._mark(self._paths[fd], os.fstat(fd).st_size)
+
+    def close(self, fd: int) -> None:
+        self._paths.pop(fd, None)
+        super().close(fd)
+
+    def replace(self, old: Path, new: Path) -> None:
+        super().replace(old, new)
+        self._marked(old).replace(self._marked(new))
+
+    def remove(self, path: Path) -> None:
+        super().remove(path)
+        self._marked(path).unlink(missing_ok=True)
+
+    def names(self, folder: Path) -> list[str]:
+        return [x for x in super().names(folder) if not x.endswith(MARK)]
+
+    @staticmethod
+    def _marked(path: Path) -> Path:
+        return path.with_name(path.name + MARK)
+
+    def _mark(self, path: Path, size: int) -> None:
+        # In one write of fixed size: the process may be killed at any point, and the file is read after that.
+        fd = os.open(self._marked(path), os.O_WRONLY | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        try:
+            os.pwrite(fd, b"%016d\n" % size, 0)
+        finally:
+            os.close(fd)
+
+
+def lose(state: Path, draw: random.Random) -> list[str]:
+    """What a power loss leaves of a state folder whose process has ended; what was lost, in words."""
+    told = []
+    for log in sorted(x for x in state.rglob("*") if x.is_file() and not x.name.endswith(MARK)):
+        mark = log.with_name(log.name + MARK)
+        size = log.stat().st_size
+        if mark.exists():
+            synced = min(size, int(mark.read_text() or 0))
+            kept = synced + (draw.randrange(size - synced + 1) if size > synced else 0)
+            if kept < size:
+                os.truncate(log, kept)
+                told.append(f"{log.name}: {size - kept} of {size - synced} unsynced bytes")
+                mark.write_text(f"{kept:016d}\n")  # what is left lies on the disk from here on
+        elif log.name in ("carryover", "spent"):
+            if draw.random() < 0.5:
+                log.unlink()
+                told.append(f"{log.name}: gone")
+            elif log.name == "carryover" and size:
+                os.truncate(log, draw.randrange(size))
+                told.append(f"{log.name}: torn")
+        elif log.suffix == ".new":
+            log.unlink()
+            told.append(f"{log.name}: gone")
+    return told
--- a/otterglade/lab/scenarios.py
+++ b/otterglade/lab/scenarios.py
@@ -95,6 +95,39 @@
     return Day("surge", layout, seconds, 4.5, surges=((seconds * 0.3, seconds * 0.7, 2.0),))
 
 
+FIVE = Layout(gateways=5, peers=True)
+
+
+def _among_peers(layout: Layout) -> Layout:
+    """The layout with gateways that speak, five where no number was asked for."""
+    if layout == TWO:
+        return FIVE
+    return replace(layout, peers=True, witnesses=3 if layout.gateways >= 3 else 1)
+
+
+def _power(layout: Layout, seconds: float, draw: random.Random) -> Day:
+    """Power goes everywhere at a drawn instant, and again for half while the first return is fresh; links
+    lose a third of what passes for a part of the day."""
+    first = seconds * draw.uniform(0.25, 0.4)
+    second = first + seconds * draw.uniform(0.25, 0.35)
+    troubles = (
+        Trouble(seconds * 0.1, "links", 0, seconds * 0.1, 0.3),
+        Trouble(first, "power", 0, draw.uniform(0.3, 1.5)),
+        Trouble(second, "power_half", 0, draw.uniform(0.3, 2.0)),
+        Trouble(second + seconds * 0.1, "links", 0, seconds * 0.15, 0.3),
+    )
+    return Day("power", _among_peers(layout), seconds, 4.5, troubles=troubles)
+
+
+def _restart_half(layout: Layout, seconds: float, draw: random.Random) -> Day:
+    """Half of the gateways are killed at once and come back together, twice."""
+    troubles = tuple(
+        Trouble(seconds * draw.uniform(x, x + 0.1), "restart_half", 0, draw.uniform(0.5, 2.0))
+        for x in (0.2, 0.55)
+    )
+    return Day("restart-half", _among_peers(layout), seconds, 4.5, troubles=troubles)
+
+
 SCENARIOS: dict[str, Callable[[Layout, float, random.Random], Day]] = {
     "quiet": _quiet,
     "bad": _bad,
@@ -108,6 +141,8 @@
     "registry-outage": _one("registry_outage", hosts=1),
     "late-list": _one("late_list", value=2.0, hosts=1),
     "surge": _surge,
+    "power": _power,
+    "restart-half": _restart_half,
 }
 
 
--- a/otterglade/lab/stage.py
+++ b/otterglade/lab/stage.py
@@ -5,22 +5,29 @@
 import contextlib
 import json
 import os
+import random
 import signal
 import subprocess
 import sys
 import time
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
 import msgspec
 
+from ..core.fleet.messages import Seal
 from ..net.http import Client
 from ..standins.host import Fault, HostSpec
 from ..standins.player import PlayersSpec
 from ..standins.record import Record
 from ..standins.titles import TitleSpec
+from . import power
+from .links import Links
 
+KEY = b"of the lab alone"
+"""What the lab's gateways sign with."""
 READY_IN = 30.0
 """Seconds that a process may take to say that it is ready."""
 
@@ -64,6 +71,9 @@
          "floor": 1, "seats": 8},
     )  # fmt: skip
     class_share: tuple[float, ...] = (0.65, 0.35)
+    peers: bool = False
+    """Gateways speak to one another."""
+    witnesses: int = 3
     late_list: float = 0.5
     """Seconds by which the registry's readers see changes late."""
     log: str = "info"
@@ -81,8 +91,19 @@
             for n, x in enumerate(self.title_names)
         )
 
-    def script(self, name: str, registry: str, state_dir: str, listen: str, record: str = "") -> str:
-        """The configuration script of a gateway."""
+    def script(
+        self, name: str, registry: str, state_dir: str, listen: str, record: str = "",
+        members: Mapping[str, str] | None = None,
+    ) -> str:  # fmt: skip
+        """The configuration script of a gateway; `members`: the addresses of all for their datagrams."""
+        speaks = (
+            ""
+            if members is None
+            else (
+                f"peers(listen = '127.0.0.1:0', members = {dict(members)}, witnesses = {self.witnesses})\n"
+                f"tokens(keys = {{'lab': '{KEY.hex()}'}}, sign_with = 'lab')\n"
+            )
+        )
         classes = "".join(f"session_class({_fields(x)})\n" for x in self.classes)
         window, free, share = self.budget
         links = self.link * self.hosts
@@ -103,7 +124,7 @@
             f"registry(address = '{registry}', wait = 5.0, retry = 0.2)\n"
             f"limits(fetch_gap = 4.0)\n"
             f"log(level = '{self.log}')\n"
-            f"{classes}"
+            f"{speaks}{classes}"
             f"[title(name = n, home = h, holders = k) for n, h, k in {titles}]\n"
         )
 
@@ -144,11 +165,22 @@
     lives: dict[int, int] = field(default_factory=dict)
     frozen: set[int] = field(default_factory=set)
     """Gateways that stand still."""
+    counted: bool = False
+    """Gateways' disks count what is synced, so that the power can go."""
     record: Record = field(init=False)
+    links: Links | None = None
+    registry_port: int = 0
 
     def __post_init__(self) -> None:
         self.folder.mkdir(parents=True, exist_ok=True)
         self.record = Record(self.folder / "stage.jsonl")
+        if self.layout.peers:
+            names = [f"g{n}" for n in range(self.layout.gateways)]
+            self.links = Links(names, Seal({"lab": KEY}, "lab"), self.seed, self._links_failed)
+            self.links.start()
+
+    def _links_failed(self, thread: str, error: BaseException) -> None:
+        self.record.write("links_failed", cause=f"{thread}: {error!r}")
 
     def _spawn(self, name: str, *arguments: str) -> Process:
         out_path = self.folder / f"{name}.ready"
@@ -177,12 +209,7 @@
 
     def start(self) -> None:
         """Registry, hosts, gateways, each once the one before is ready."""
-        self.registry = self._ready(
-            self._spawn(
-                "registry", "standin", "registry", "--record", str(self.folder / "registry.jsonl"),
-                "--late", str(self.layout.late_list),
-            )
-        )  # fmt: skip
+        self._start_registry()
         starting = [self._start_host(n, cold=False) for n in range(self.layout.hosts)]
         for number, process in enumerate(starting):
             self.hosts[number] = self._ready(process)
@@ -192,6 +219,17 @@
         for number, process in enumerate(begun):
             self._gateway_up(number, process)
 
+    def _start_registry(self) -> None:
+        life = self.lives[-1] = self.lives.get(-1, 0) + 1
+        self.registry = self._ready(
+            self._spawn(
+                f"registry-{life}", "standin", "registry", "--record",
+                str(self.folder / ("registry.jsonl" if life == 1 else f"registry-{life}.jsonl")),
+                "--late", str(self.layout.late_list), "--port", str(self.registry_port),
+            )
+        )  # fmt: skip
+        self.registry_port = int(self.registry.address.rpartition(":")[2])
+
     def host_spec(self, number: int, cold: bool) -> HostSpec:
         layout = self.layout
         per_rack = layout.link * layout.hosts * layout.uplink_share / layout.racks
@@ -220,9 +258,13 @@
         listen = old.address if old is not None else self.listen if number == 0 else "127.0.0.1:0"
         path = self.folder / f"gateway-{number}.star"
         state = self.folder / f"gateway-{number}.state"
-        path.write_text(self.layout.script(f"g{number}", self.registry.address, str(state), listen))
+        members = None if self.links is None else self.links.members
+        path.write_text(
+            self.layout.script(f"g{number}", self.registry.address, str(state), listen, members=members)
+        )
         plant = ["--plant", self.plant] if self.plant else []
-        return self._spawn(f"gateway-{number}-{life}", "run", str(path), *plant)
+        counted = ["--counted"] if self.counted else []
+        return self._spawn(f"gateway-{number}-{life}", "run", str(path), *plant, *counted)
 
     def _gateway_up(self, number: int, process: Process) -> None:
         self.gateways[number] = self._ready(process)
@@ -283,6 +325,42 @@
         if process.child.poll() is None:
             process.child.send_signal(signal.SIGSTOP if frozen else signal.SIGCONT)
 
+    def power_loss(self, gateways: Iterable[int], hosts: Iterable[int], registry: bool) -> None:
+        """At one instant all of these end, and what they had not synced is gone."""
+        gateways, hosts = sorted(gateways), sorted(hosts)
+        ended = [*(self.gateways[x] for x in gateways), *(self.hosts[x] for x in hosts)]
+        if registry and self.registry is not None:
+            ended.append(self.registry)
+        self.record.write("power_loss", gateways=gateways, hosts=hosts, registry=registry)
+        for number in hosts:
+            self.record.write("host_killed", host=number)
+        for number in gateways:
+            self.record.write("gateway_down", gateway=number, address=self.gateways[number].address)
+        for process in ended:
+            process.child.kill()
+        for process in ended:
+            process.child.wait()
+        draw = random.Random(self.seed)
+        for number in gateways:
+            self.record.write("gateway_gone", gateway=number, address=self.gateways[number].address)
+            lost = power.lose(self.folder / f"gateway-{number}.state", draw)
+            self.record.write("lost", gateway=number, what=lost)
+
+    def power_back(self, gateways: Iterable[int], hosts: Iterable[int], registry: bool) -> None:
+        """All of these start at once; hosts are cold and are listed as soon as the registry is there."""
+        if registry:
+            self._start_registry()
+            for number in self.hosts:
+                if number not in hosts:
+                    self.list_host(number, "ready")
+        begun = {n: self._start_host(n, cold=True) for n in hosts}
+        starting = {n: self._start_gateway(n) for n in gateways}
+        for number, process in begun.items():
+            self.hosts[number] = self._ready(process)
+            self.list_host(number, "ready", time.time())
+        for number, process in starting.items():
+            self._gateway_up(number, process)
+
     def players(self, spec: PlayersSpec) -> Process:
         path = self.folder / "players.json"
         path.write_bytes(msgspec.json.encode(spec))
@@ -303,4 +381,6 @@
         for process in self.processes:
             if process.child.poll() is None:
                 process.kill()
+        if self.links is not None:
+            self.links.stop()
         return codes
--- a/otterglade/referee/judge.py
+++ b/otterglade/referee/judge.py
@@ -46,6 +46,8 @@
     budget_window: float = 0.0
     budget_free: float = 0.0
     budget_share: float = 0.0
+    over_deaths: bool = False
+    """A viewer is not charged again after his gateway's death either: attempts are witnessed."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -241,7 +243,7 @@
                 break
             first, second = one.done, two.asked["t"]
             assert first is not None, "it ran"
-            died = deaths.get(run_of(one.key), float("inf")) <= second
+            died = not rules.over_deaths and deaths.get(run_of(one.key), float("inf")) <= second
             played = any(first["t"] - WAY <= t <= second for t in plays[who])
             over = one.ended is not None and one.ended <= second + END
             if not died and not (played and over):
--- a/otterglade/referee/records.py
+++ b/otterglade/referee/records.py
@@ -50,5 +50,5 @@
         return tuple(sorted((x for path in paths for x in _lines(path)), key=lambda x: float(x["t"])))
 
     return Records(
-        all_of("host-*.jsonl"), all_of("players*.jsonl"), all_of("registry.jsonl"), all_of("stage.jsonl")
+        all_of("host-*.jsonl"), all_of("players*.jsonl"), all_of("registry*.jsonl"), all_of("stage.jsonl")
     )
