--- a/otterglade/explore/acts.py
+++ b/otterglade/explore/acts.py
@@ -62,6 +62,8 @@
                 acts.append(("learn", gate.number, n))
     if left["forgets"]:
         acts += [("forget", n) for n, _ in enumerate(world.hosts)]
+    if left["powers"]:
+        acts.append(("power", 0))
     return acts + _alarms(world)
 
 
@@ -101,13 +103,14 @@
     for gate in world.gates:
         if gate.up and gate.synced:
             waits = gate.alive()[1].waits.get(gate.synced[0][1])
-            if waits is not None and waits.asked:
+            if waits is not None and (waits.asked or _polled(gate, gate.synced[0][1])):
                 return ("written", gate.number)
     if not world.left["silent"]:
         for n, call in enumerate(world.calls):
-            if call.claim is not None and call.state == "answered":
+            if call.claim is not None and call.witness < 0 and call.state == "answered":
                 waits = world.gates[call.gate].alive()[1].waits.get(call.setup)
-                if waits is None or len(waits.asked) > 1 or not waits.written:
+                polled = _polled(world.gates[call.gate], call.setup)
+                if waits is None or len(waits.asked) > 1 or not waits.written or polled:
                     return ("claim told", n)
     if not world.left["kills"] and not world.left["full"]:
         for gate in world.gates:
@@ -116,6 +119,12 @@
     return None
 
 
+def _polled(gate: Gate, setup: str) -> bool:
+    """Whether an attempt waits for its witnesses."""
+    poll = gate.alive()[1].polls.get(setup)
+    return poll is not None and poll.verdict is None
+
+
 def _knows(world: World, gate: Gate, viewer: Viewer) -> bool:
     desk, _ = gate.alive()
     return (viewer.name, 0, "a") in desk.by_key
@@ -134,6 +143,12 @@
 
 def _of_call(world: World, n: int, call: Call) -> list[Act]:
     left, question = world.left, call.entry is not None
+    if call.witness >= 0:
+        name = {"sent": "witnessed", "closed": "witnessed", "kept": "witness keeps"}.get(
+            call.state, "witness told"
+        )
+        lost = left["silent"] and call.state != "closed"
+        return [(name, n)] + ([("witness lost", n)] if lost else [])
     if call.claim is not None:
         if call.state == "broken":
             return [("no claim", n)]
@@ -204,6 +219,22 @@
         case "claim told" | "claim lost" | "no claim":
             _spend(world, "silent", name == "claim lost")
             world.claim_told(world.calls[n], silent=name != "claim told")
+        case "witnessed":
+            call = world.calls[n]
+            late = call.state == "closed"
+            world.witnessed(call)
+            if late:  # nobody hears its word, and its record is written all the same
+                if call.record is not None:
+                    world.witness_keeps(call)
+                world.calls.remove(call)
+        case "witness keeps":
+            world.witness_keeps(world.calls[n])
+        case "witness told" | "witness lost":
+            _spend(world, "silent", name == "witness lost")
+            world.witness_told(world.calls[n], silent=name == "witness lost")
+        case "power":
+            _spend(world, "powers")
+            world.power()
         case "answer":
             call = world.calls.pop(n)
             world.outcome(call, call.answer)
--- a/otterglade/explore/properties.py
+++ b/otterglade/explore/properties.py
@@ -26,7 +26,7 @@
 FAULTS = frozenset(
     (
         "kill", "forget", "busy", "refused", "cut", "silent", "leave", "ask", "segment", "stop",
-        "release lost", "write fails", "claim lost", "claim lost",
+        "release lost", "write fails", "claim lost", "witness lost", "power",
     )
 )  # fmt: skip
 """Acts that need not happen: a story may end where only these can."""
--- a/otterglade/explore/story.py
+++ b/otterglade/explore/story.py
@@ -65,7 +65,7 @@
 
 OF_CALLS = frozenset(
     ("claimed", "claim told", "claim lost", "no claim", "arrive", "busy", "cut", "answer", "refused", "reset",
-     "asked", "word", "silent", "silence")
+     "asked", "word", "silent", "silence", "witnessed", "witness keeps", "witness told", "witness lost")
 )  # fmt: skip
 """Acts whose first number is that of an exchange."""
 
@@ -77,7 +77,7 @@
     if name in OF_CALLS:
         call = world.calls[n]
     gate = f"g{call.gate}" if call else f"g{n}"
-    host = f"h{call.server}" if call else ""
+    host = "" if call is None else f"h{call.server}" if call.witness < 0 else f"w{call.witness}"
     setup = call.setup if call else ""
     match name:
         case "ask":
@@ -111,6 +111,17 @@
             granted = call is None or call.answer is True
             stands = "granted" if granted else f"{world.calls[n].answer.setup} stands"
             return host, gate, f"claim of {setup}: {stands}"
+        case "witnessed":
+            return gate, host, f"has {setup} witnessed"
+        case "witness keeps":
+            return host, "", f"has the claim of {setup} on its disk"
+        case "witness told":
+            other = call.answer.other if call is not None and call.answer is not None else None
+            return host, gate, f"on {setup}: {f'{other.setup} stands' if other else 'granted'}"
+        case "witness lost":
+            return host, gate, f"no word on {setup}"
+        case "power":
+            return "", "", "the power goes everywhere: hosts forget, what was not synced is gone"
         case "claim lost" | "no claim":
             return host, gate, f"no word on the claim of {setup}"
         case "release" | "release lost":
@@ -141,7 +152,7 @@
     """A story as numbered steps with a lane for each viewer, gateway and host."""
     world = World(scope)
     lanes = [f"v{n}" for n in range(scope.viewers)] + [f"g{n}" for n in range(scope.gateways)]
-    lanes += [f"h{n}" for n in range(scope.hosts)]
+    lanes += [f"h{n}" for n in range(scope.hosts)] + [f"w{n}" for n in range(scope.witnesses)]
     lines = ["     " + "".join(f"{x:^5}" for x in lanes)]
     for number, act in enumerate(acts, 1):
         world = unpack(pack(world))
--- a/otterglade/explore/world.py
+++ b/otterglade/explore/world.py
@@ -16,6 +16,8 @@
 from ..core.attempts import NEXT, Entry, Fate, Word, heard
 from ..core.claims import Claim, claim_of
 from ..core.desk import Desk
+from ..core.fleet.witness import Settled, Witness
+from ..core.fleet.witness import Word as WitnessWord
 from ..core.keeper import Done, Keeper
 from ..core.policy import Controller
 from ..core.tokens import Claim as Address
@@ -61,6 +63,11 @@
     """Writes to a disk that fail."""
     registrars: int = 2
     """Holders at which paid attempts are claimed."""
+    witnesses: int = 0
+    """Other gateways that witness paid attempts, by a majority."""
+    powers: int = 0
+    """Times that the power goes everywhere: gateways, hosts and witnesses end, and what was not synced is
+    gone."""
 
     def settings(self) -> api.Settings:
         return api.Settings(
@@ -75,7 +82,19 @@
         )  # fmt: skip
 
 
-RARE = ("kills", "forgets", "busy", "refused", "cuts", "silent", "lost", "leaves", "segments", "full")
+RARE = (
+    "kills",
+    "forgets",
+    "busy",
+    "refused",
+    "cuts",
+    "silent",
+    "lost",
+    "leaves",
+    "segments",
+    "full",
+    "powers",
+)
 """The fields of a scope that bound what nobody wants."""
 
 
@@ -104,6 +123,10 @@
     entry: Entry | None = None
     of_address: bool = False
     claim: Claim | None = None
+    witness: int = -1
+    """The witness that is asked; under zero: a host."""
+    record: bytes | None = None
+    """What a witness has still to make durable before it answers."""
     state: str = "sent"
     """sent, answered, broken (its host is gone), closed (nobody waits for it; it may still arrive)."""
     answer: Any = None
@@ -123,6 +146,14 @@
     """By viewer."""
 
 
+@dataclass(slots=True, eq=False)
+class Seat:
+    """A gateway as a witness: its run's memory, and its disk."""
+
+    witness: Witness
+    disk: list[bytes] = field(default_factory=list)
+
+
 @dataclass(slots=True, eq=False)
 class Viewer:
     """A viewer, who wants one session."""
@@ -208,6 +239,7 @@
         self.now: float = Time(BASE)
         self.hosts = [Host() for _ in range(scope.hosts)]
         self.gates = [Gate(n) for n in range(scope.gateways)]
+        self.seats = [Seat(Witness(UNSURE_FOR, UNSURE_FOR)) for _ in range(scope.witnesses)]
         self.viewers = [Viewer(f"v{n}", scope.asks) for n in range(scope.viewers)]
         self.calls: list[Call] = []
         self.releases: list[tuple[str, int, str]] = []
@@ -229,7 +261,10 @@
         controller = Controller(self.settings, 1)
         controller.random = Even()  # type: ignore[assignment]
         desk = gate.desk = Desk(self.settings, controller, self.terms, {TITLE: m.Place(0, self.scope.hosts)})
-        keeper = gate.keeper = Keeper(gate.name, UNSURE_FOR, FIND_OUT)
+        keeper = gate.keeper = Keeper(
+            gate.name, UNSURE_FOR, FIND_OUT, ("paid",), [str(n) for n, _ in enumerate(self.seats)],
+            self.scope.witnesses,
+        )  # fmt: skip
         keeper.restore(gate.disk, self.now, WALL)
         self.carry(gate, desk.start(self.now))
         keeper.prepare(desk, self.now, WALL)
@@ -299,6 +334,60 @@
         other = None if silent or granted else call.answer.entry(0, WALL)
         self.carry(gate, keeper.claimed(desk, self.now, call.setup, call.server, granted, other))
 
+    # Witnesses
+
+    def witnesses_follow(self, entry: Entry) -> None:
+        """Witnesses hear of an attempt's fate, at once and durable, or never: as with registrars, that only
+        makes the next claimant ask with more care."""
+        settled = Settled(entry.key[0], "paid", entry.key[2], entry.setup, entry.fate is Fate.RAN)
+        for seat in self.seats:
+            record = seat.witness.settled(self.now, settled)
+            if record is not None:
+                seat.disk.append(record)
+
+    def witnessed(self, call: Call) -> None:
+        """A claim reaches its witness."""
+        assert call.claim is not None, "a claim's call"
+        word, call.record = self.seats[call.witness].witness.claim(self.now, call.claim)
+        call.answer, call.state = word, "kept" if call.record is not None else "answered"
+
+    def witness_keeps(self, call: Call) -> None:
+        """Its record is durable."""
+        seat = self.seats[call.witness]
+        assert call.record is not None, "there was one"
+        seat.disk.append(call.record)
+        seat.witness.durable(call.setup)
+        call.record, call.state = None, "answered"
+
+    def witness_told(self, call: Call, silent: bool) -> None:
+        """A witness's word, or that there is none, reaches the gateway."""
+        gate = self.gates[call.gate]
+        desk, keeper = gate.alive()
+        self.calls.remove(call)
+        if call.record is not None:  # its word is lost, its record is not
+            self.seats[call.witness].disk.append(call.record)
+            self.seats[call.witness].witness.durable(call.setup)
+        poll = keeper.polls.get(call.setup)
+        if poll is not None:
+            word = (
+                WitnessWord(call.setup, False, "no answer") if silent or call.answer is None else call.answer
+            )
+            poll.told(str(call.witness), word)
+            self.carry(gate, keeper.witnessed(desk, self.now, WALL, call.setup))
+
+    def power(self) -> None:
+        """It goes everywhere at one instant."""
+        for gate in self.gates:
+            if gate.up:
+                self.kill(gate)
+        self.calls = [x for x in self.calls if x.claim is None]
+        for server, _ in enumerate(self.hosts):
+            self.forget(server)
+        for seat in self.seats:
+            seat.witness = Witness(UNSURE_FOR, UNSURE_FOR)
+            seat.witness.restore(seat.disk, self.now)
+        self.releases, self.events = [], []
+
     def question(self, gate: Gate, entry: Entry, of_address: bool) -> None:
         viewer = self.viewer_of(entry)
         self.calls.append(
@@ -323,6 +412,10 @@
                     viewer = self.viewer_of(entry)
                     claim = claim_of(entry, "paid", keeper.replaced.of(entry.key))
                     self.calls += [Call(gate.number, gate.run, x, key, viewer, claim=claim) for x in asked]
+                    self.calls += [
+                        Call(gate.number, gate.run, -1, key, viewer, claim=claim, witness=n)
+                        for n, _ in enumerate(self.seats)
+                    ]
                 case m.Fated(session, attempt, fate):
                     key = gate.key_of(session, attempt)
                     before = keeper.book.entries.get(key)
@@ -334,6 +427,7 @@
                     if kept is not None and fate not in (Fate.UNSURE, Fate.TAKEN):
                         for server in keeper.registrars(desk, kept.key):
                             self.claim_follows(server, kept)
+                        self.witnesses_follow(kept)
                     if fate in (Fate.OVER, Fate.TAKEN):
                         gate.names.pop(session, None)
                 case m.AskFate(entry, claimed):
--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -10,6 +10,8 @@
 
 from otterglade.cli.main import main
 from otterglade.core import attempts, desk, keeper, sessions
+from otterglade.core.claims import Claim
+from otterglade.core.fleet import witness
 from otterglade.explore import search, story
 from otterglade.explore.times import Time, canonical, pack, unpack
 from otterglade.explore.world import Scope, World
@@ -22,6 +24,7 @@
 @pytest.mark.parametrize("scope, most", [
     (ONE, 3000), (KILLED, 3000), (Scope(hosts=1, asks=1, busy=0, cuts=0, kills=1, forgets=1), 3000),
     (Scope(hosts=2, gateways=2, asks=2, busy=0, cuts=0, registrars=1), 20000),
+    (Scope(hosts=1, gateways=1, asks=2, busy=0, cuts=0, powers=1, registrars=0, witnesses=1), 5000),
 ])  # fmt: skip
 def test_a_small_world_is_visited_whole_and_keeps_every_property(scope: Scope, most: int) -> None:
     found = search.explore(scope, most=most)
@@ -40,6 +43,14 @@
     assert (found.complete, found.bound) == (False, "50 states")
 
 
+def test_a_power_loss_without_witnesses_charges_a_viewer_twice() -> None:
+    scope = Scope(hosts=1, gateways=2, asks=2, busy=0, cuts=0, powers=1, registrars=1)
+    found = search.explore(scope)
+    assert found.broken == "charged twice"
+    assert len(found.story) == 14
+    assert "the power goes everywhere" in story.told(scope, found.story)
+
+
 def test_two_gateways_without_claims_charge_a_viewer_twice() -> None:
     found = search.explore(Scope(hosts=2, gateways=2, asks=2, busy=0, cuts=0, registrars=0))
     assert found.broken == "charged twice"
@@ -81,6 +92,26 @@
     patch.setattr(desk.Desk, "_adopt", seen)
 
 
+def _before_it_is_durable(patch: pytest.MonkeyPatch) -> None:
+    claim = witness.Witness.claim
+
+    def hasty(self: witness.Witness, now: float, one: Claim) -> tuple[witness.Word | None, bytes | None]:
+        word, _ = claim(self, now, one)
+        return word, None
+
+    patch.setattr(witness.Witness, "claim", hasty)
+
+
+def _anothers_is_no_matter(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(keeper.Keeper, "_other", staticmethod(lambda *given: None))
+    patch.setattr(witness.Poll, "verdict", property(lambda self: witness.Verdict.GRANTED))
+
+
+def _forgets_at_a_start(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(witness.Witness, "restore", lambda *given: None)
+
+
+POWER = Scope(hosts=1, gateways=2, asks=2, busy=0, cuts=0, powers=1, registrars=0, witnesses=1)
 RESTARTED = Scope(hosts=1, asks=2, busy=0, cuts=0, kills=1, forgets=1, registrars=0)
 
 
@@ -89,6 +120,9 @@
     (_asks_nothing, Scope(hosts=2, asks=2, busy=0, cuts=0, kills=1, registrars=0), "refused though it ran"),
     (_any_epoch, RESTARTED, "charged twice"),
     (_seen_at_once, RESTARTED, "refused though it ran"),
+    (_before_it_is_durable, POWER, "charged twice"),
+    (_anothers_is_no_matter, POWER, "charged twice"),
+    (_forgets_at_a_start, POWER, "charged twice"),
 ])  # fmt: skip
 def test_a_planted_fault_is_found(
     plant: Patch, scope: Scope, broken: str, monkeypatch: pytest.MonkeyPatch
