--- a/otterglade/lab/plants.py
+++ b/otterglade/lab/plants.py
@@ -98,7 +98,7 @@
 }  # fmt: skip
 KILLS = ("kill-before-write", "kill-after-write", "kill-after-answer")
 """Steps of a paid attempt at which the process ends at once, as by kill -9."""
-NAMES = (*MODULES, "lost", "forgets", *KILLS)
+NAMES = (*MODULES, "lost", "forgets", "unwitnessed", *KILLS)
 
 
 def _die(*_: object) -> None:
@@ -130,6 +130,9 @@
     if name == "forgets":  # a restart begins with a fresh window
         gateway._resume_budget = lambda desk, now: []  # type: ignore[method-assign]
         return
+    if name == "unwitnessed":  # what hosts forget nobody knows
+        gateway.journal.keeper._witness_count = 0
+        return
     if name == "lost":
         tell, count = gateway.front.verdict, itertools.count()
 
--- a/otterglade/lab/scenarios.py
+++ b/otterglade/lab/scenarios.py
@@ -108,15 +108,23 @@
 def _power(layout: Layout, seconds: float, draw: random.Random) -> Day:
     """Power goes everywhere at a drawn instant, and again for half while the first return is fresh; links
     lose a third of what passes for a part of the day."""
+    layout = _among_peers(layout)
     first = seconds * draw.uniform(0.25, 0.4)
     second = first + seconds * draw.uniform(0.25, 0.35)
+    # Just before each, answers are lost, so that paid set-ups have run of which nobody was told.
+    unseen = [
+        Trouble(at - 1.2, "answer_lost", host, 1.5, 0.5)
+        for at in (first, second)
+        for host in range(layout.hosts)
+    ]
     troubles = (
+        *unseen,
         Trouble(seconds * 0.1, "links", 0, seconds * 0.1, 0.3),
         Trouble(first, "power", 0, draw.uniform(0.3, 1.5)),
         Trouble(second, "power_half", 0, draw.uniform(0.3, 2.0)),
         Trouble(second + seconds * 0.1, "links", 0, seconds * 0.15, 0.3),
     )
-    return Day("power", _among_peers(layout), seconds, 4.5, troubles=troubles)
+    return Day("power", layout, seconds, 4.5, troubles=troubles)
 
 
 def _restart_half(layout: Layout, seconds: float, draw: random.Random) -> Day:
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -17,7 +17,7 @@
 from otterglade.core.policy import Controller
 from otterglade.gateway.record import RecordError, replay
 from otterglade.lab.day import play, rules_of, summary
-from otterglade.lab.scenarios import TWO, Trouble, make
+from otterglade.lab.scenarios import FIVE, TWO, Day, Trouble, make
 from otterglade.lab.stage import Layout, Stage
 from otterglade.referee.judge import RULES, Verdict, judge
 from otterglade.referee.records import load
@@ -57,6 +57,27 @@
     assert verdict.broken()[rule] > 0, verdict
 
 
+def blackout_day(folder: Path, plant: str = "") -> Verdict:
+    """Power goes everywhere while answers are lost: paid set-ups have run unseen, and viewers come back."""
+    layout = replace(FIVE, class_share=(0.2, 0.8), late_list=0.1, titles=6)
+    lost = tuple(Trouble(3.0, "answer_lost", n, 1.5, 0.7) for n in range(layout.hosts))
+    day = Day("blackout", layout, 12.0, 12.0, (1.0, 3.0), (*lost, Trouble(4.3, "power", 0, 0.1)))
+    return play(day, folder, 7, plant=plant)
+
+
+@pytest.mark.long
+def test_a_power_loss_charges_nobody_twice(tmp_path: Path) -> None:
+    verdict = blackout_day(tmp_path)
+    assert verdict.broken()["twice"] == 0, verdict.findings
+    assert verdict.broken()["cold"] == 0, verdict.findings
+    assert verdict.answers["plays"] > 0
+
+
+@pytest.mark.long
+def test_a_power_loss_without_witnesses_is_found_to_charge_twice(tmp_path: Path) -> None:
+    assert blackout_day(tmp_path, "unwitnessed").broken()["twice"] > 0
+
+
 def restarted_day(folder: Path, plant: str) -> Verdict:
     """Hosts that turn everything away, and one gateway killed again and again within its window."""
     layout = replace(TWO, hosts=12, titles=12, gateways=1, late_list=0.1, budget=(5.0, 3.0, 0.02))
