What a start trusts from one table; otterglade peers, fleet N and fleet status

Need: what a start reads from its disk was decided in several places, and operators could not see where a fleet stands.

Change: core/fleet/trust.py is the table of things on disk by kind of start, read by the daemon for the budget window, turns, readings and what it witnesses; docs/fleet-tables.md is made from the code's tables and a test compares them. otterglade peers shows a gateway's view with reasons, fleet status each gateway's phase and what a person can do, fleet N starts N gateways and says memory, CPU, time to return and set-ups at cold hosts.

--- a/otterglade/cli/main.py
+++ b/otterglade/cli/main.py
@@ -339,6 +339,95 @@
             stage.stop()
 
 
+def _asked(address: str) -> dict[str, Any]:
+    """A gateway's /status. Raises ClickException where it has none."""
+    import msgspec
+
+    from ..config.script import address as of
+    from ..net.http import Client, ExchangeError
+
+    try:
+        client = Client(of(address.removeprefix("http://").rstrip("/"), "ADDRESS"), 2.0)
+        answer = client.exchange(b"GET", b"/status", deadline=time.monotonic() + 3.0)
+        client.close_idle()
+        return dict(msgspec.json.decode(answer.body))
+    except (ExchangeError, ValueError) as error:
+        raise click.ClickException(f"{address}: {error}") from error
+
+
+@main.command()
+@click.argument("address")
+@click.option("--json", "as_json", is_flag=True, help="As the gateway tells it.")
+def peers(address: str, as_json: bool) -> None:
+    """How the gateway at ADDRESS (host:port, for players) sees the others, with reasons."""
+    from ..lab.fleet import view
+
+    said = _asked(address)
+    if "fleet" not in said:
+        raise click.ClickException(f"{address}: speaks to no other gateway; its script has no peers(...)")
+    click.echo(json.dumps(said["fleet"]) if as_json else view(said))
+
+
+class _Fleet(click.Group):
+    """`fleet N` beside `fleet status`."""
+
+    def resolve_command(self, ctx: click.Context, args: list[str]) -> Any:
+        if args and args[0].isdigit():
+            return super().resolve_command(ctx, ["run", *args])
+        return super().resolve_command(ctx, args)
+
+
+@main.group(cls=_Fleet)
+def fleet() -> None:
+    """Several gateways: `fleet N` starts N of them on loopback, `fleet status ADDRESS...` asks them."""
+
+
+@fleet.command("run", hidden=True)
+@click.argument("count", type=click.IntRange(1, 400))
+@click.option("--hosts", type=click.IntRange(1, 200), default=12, show_default=True)
+@click.option("--seconds", type=click.FloatRange(min=2.0), default=30.0, show_default=True)
+@click.option(
+    "--rate", type=click.FloatRange(min=0.1), default=9.0, show_default=True, help="Viewers a second."
+)
+@click.option("--restart-half", is_flag=True, help="Kill half of the gateways at once, half way.")
+@click.option("--power", is_flag=True, help="Have the power go everywhere, half way.")
+@click.option("--seed", type=int, default=1, show_default=True)
+def fleet_run(
+    count: int, hosts: int, seconds: float, rate: float, restart_half: bool, power: bool, seed: int
+) -> None:
+    """Start COUNT gateways with hosts, registry and players; ends with one line of JSON; exit 1 on a
+    finding."""
+    from ..lab import fleet as fleets
+    from ..lab.stage import StageError
+
+    try:
+        said = fleets.play(count, hosts, seconds, rate, seed, restart_half=restart_half, power=power)
+    except StageError as error:
+        raise click.ClickException(str(error)) from error
+    click.echo(json.dumps(said))
+    sys.exit(1 if any(said["broken"].values()) else 0)
+
+
+@fleet.command("status")
+@click.argument("addresses", nargs=-1, required=True)
+def fleet_status(addresses: tuple[str, ...]) -> None:
+    """Where each gateway stands: its phase, since when, what ended the ones before, and what a person can do.
+
+    Exit 1 where one can't be asked or is not in service.
+    """
+    from ..lab.fleet import line
+
+    sound = True
+    for address in addresses:
+        try:
+            told, good = line(address, _asked(address))
+        except click.ClickException as error:
+            told, good = f"{error.message}: not to be had; the others go on without it", False
+        click.echo(told)
+        sound = sound and good
+    sys.exit(0 if sound else 1)
+
+
 @main.group(hidden=True)
 def standin() -> None:
     """The outside systems of demo and days."""
--- /dev/null
+++ b/otterglade/explore/tables.py
@@ -0,0 +1,66 @@
+"""The tables of state and event as a page: `python -m otterglade.explore.tables` prints
+docs/fleet-tables.md."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from enum import Enum
+from typing import Any
+
+from ..core.fleet import recovery, standing, trust, witness
+
+
+def _grid(rows: Iterable[Enum], columns: Iterable[Enum], cell: Mapping[Any, Enum]) -> list[str]:
+    columns = list(columns)
+    lines = ["| | " + " | ".join(str(x.value) for x in columns) + " |", "| --- " * (len(columns) + 1) + "|"]
+    for row in rows:
+        cells = (cell[row, x].name.lower() if (row, x) in cell else "-" for x in columns)
+        lines.append(f"| **{row.name.lower()}** {row.value} | " + " | ".join(cells) + " |")
+    return lines
+
+
+def _reasons(pairs: Mapping[Any, str]) -> list[str]:
+    found: dict[str, list[str]] = {}
+    for (row, column), why in pairs.items():
+        found.setdefault(why, []).append(f"{row.name.lower()} / {column.value}")
+    return ["", "Where there is `-`, it can't happen:", ""] + [
+        f"- {why}: {'; '.join(x)}" for why, x in found.items()
+    ]
+
+
+def page() -> str:
+    """All of them, in Markdown."""
+    lines = [
+        "# Tables of the fleet",
+        "",
+        "Made from the code by `python -m otterglade.explore.tables`; a test compares the two.",
+        "",
+        "## How a peer stands (`core/fleet/standing.py`)",
+        "",
+        *_grid(standing.Standing, standing.Said, standing.NEXT),
+        *_reasons(standing.UNREACHABLE),
+        "",
+        "## What a witness has of a session (`core/fleet/witness.py`)",
+        "",
+        *_grid(witness.Stands, witness.Event, witness.NEXT),
+        *_reasons(witness.UNREACHABLE),
+        "",
+        "## How a gateway comes back (`core/fleet/recovery.py`)",
+        "",
+        *_grid(recovery.Phase, recovery.Event, recovery.NEXT),
+        "",
+        "Kinds of a start:",
+        "",
+        *(f"- **{x.name.lower()}**: {x.value}" for x in recovery.Start),
+        "",
+        "## What is trusted from before (`core/fleet/trust.py`)",
+        "",
+        *_grid(trust.Thing, recovery.Start, trust.TRUST),
+        "",
+        *(f"- **{x.value}**: {trust.reason(x)}." for x in trust.Thing),
+    ]
+    return "\n".join(lines) + "\n"
+
+
+if __name__ == "__main__":
+    print(page(), end="")
--- a/otterglade/gateway/daemon.py
+++ b/otterglade/gateway/daemon.py
@@ -11,6 +11,8 @@
 from dataclasses import replace
 from pathlib import Path
 
+from msgspec.structs import replace as replace_struct
+
 from ..config import schema
 from ..config.schema import Config
 from ..config.script import address, peer_seal, token_keys
@@ -19,6 +21,8 @@
 from ..core import messages as d
 from ..core.desk import Desk
 from ..core.fleet.recovery import Event as Returned
+from ..core.fleet.recovery import Start
+from ..core.fleet.trust import Thing, keeps
 from ..core.policy import Controller
 from ..core.sessions import Decider
 from ..core.tokens import Tokens
@@ -196,6 +200,9 @@
             self._spends = Ring(self._carried.with_name("spent"))
         except OSError as error:  # free sessions go on: only a kill within the window would forget attempts
             self.log.warning("spent_not_kept", cause=str(error))
+        if self.peers is not None:
+            self.peers.start()
+            self.peers.ready.wait()  # bounded by its own step
         self.loop.put(self._resume_budget)
         try:
             cached = self._cache.load()
@@ -205,9 +212,6 @@
         if cached is not None:
             self.log.info("cached_list", index=cached.index, hosts=len(cached.hosts))
             self._tell_list(cached, cached=True)
-        if self.peers is not None:
-            self.peers.start()
-            self.peers.ready.wait()  # bounded by its own step
         self.registry.start()
         if not self._listed.wait(FIRST_LIST):
             self.log.warning("no_host_list", waited=FIRST_LIST)  # players are refused until there is one
@@ -338,6 +342,12 @@
             orders = desk.servers(now, server_list(listed, self._clock, cached))
             found, self._found = self._found, None
             if found is not None and isinstance(desk.controller, Controller):
+                found = replace_struct(
+                    found,
+                    turns=found.turns if keeps(Thing.TURNS, self._kind) else (),
+                    links=found.links if keeps(Thing.READINGS, self._kind) else (),
+                    uplinks=found.uplinks if keeps(Thing.READINGS, self._kind) else (),
+                )
                 turns, readings = carryover.restore_fleet(desk.controller, found, now, time.time())
                 self.log.info("fleet_resumed", turns=turns, readings=readings)
             self._listed.set()
@@ -411,12 +421,18 @@
             return None
 
     def _resume_budget(self, desk: Desk, now: float) -> list[d.Order]:
+        if not keeps(Thing.BUDGET, self._kind):
+            return []
         controller, spends = desk.controller, self._spends.found if self._spends is not None else []
         if isinstance(controller, Controller) and (self._found is not None or spends):
             count = carryover.restore_budget(desk, controller, self._found, spends, now, time.time())
             self.log.info("budget_resumed", further=count)
         return []
 
+    @property
+    def _kind(self) -> Start | None:
+        return None if self.peers is None else self.peers.kind
+
     def _has_list(self, desk: Desk, now: float) -> list[d.Order]:
         if self.peers is not None:
             self.peers.tell(desk, now, Returned.LISTED)
--- a/otterglade/gateway/peers.py
+++ b/otterglade/gateway/peers.py
@@ -23,8 +23,9 @@
 from ..core.fleet.fleet import Fleet, Keep, Out, Polled, Send
 from ..core.fleet.members import Members
 from ..core.fleet.messages import MOST, Message, Seal, SealError
-from ..core.fleet.recovery import Event, Phase, Returns, what_happened
+from ..core.fleet.recovery import Event, Phase, Returns, Start, what_happened
 from ..core.fleet.standing import Standing
+from ..core.fleet.trust import Thing, keeps
 from ..core.fleet.witness import Poll, Witness, WitnessError
 from ..net.threads import Failure, spawn
 from ..net.workers import Workers
@@ -209,6 +210,11 @@
 
         return take
 
+    @property
+    def kind(self) -> Start | None:
+        """Which start this is, as far as it is known."""
+        return None if self.returns is None else self.returns.start
+
     # On the loop
 
     def _carry(self, desk: Desk, now: float, out: list[Out]) -> list[d.Order]:
@@ -313,7 +319,8 @@
             self._identity = before
             return
         self._logger.warning("old_disk", boot=members.boot, known=members.behind)
-        self._abstain(now, "its disk is older than its name: what it witnessed may be forgotten")
+        if not keeps(Thing.WITNESSED, Start.NEW_DISK):
+            self._abstain(now, "its disk is older than its name: what it witnessed may be forgotten")
         self._make(now)
         assert self.fleet is not None, "just made"
         self.fleet.members.phase = members.phase
@@ -333,7 +340,8 @@
         def save() -> None:
             self._save()
 
-        self._saves.submit(save)
+        if not self._stopped:  # after that the folder may be another run's
+            self._saves.submit(save)
 
     def _save(self) -> bool:
         try:
--- a/otterglade/lab/day.py
+++ b/otterglade/lab/day.py
@@ -6,6 +6,7 @@
 import heapq
 import itertools
 import random
+import threading
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -166,8 +167,11 @@
         self.stage.hosts[host].kill()
 
 
-def play(day: Day, folder: Path, seed: int, plant: str = "") -> Verdict:
-    """Play a day in a folder, which keeps all records and logs; judged when all has ended.
+def play(
+    day: Day, folder: Path, seed: int, plant: str = "", watch: Callable[[Stage], None] | None = None
+) -> Verdict:
+    """Play a day in a folder, which keeps all records and logs; judged when all has ended. `watch` looks on
+    from a thread of its own.
 
     Raises StageError where a process does not come up.
     """
@@ -181,6 +185,8 @@
     acts = _Acts(stage, later)
     try:
         stage.start()
+        if watch is not None:
+            threading.Thread(target=watch, args=(stage,), name="watch", daemon=True).start()
         players = stage.players(players_of(day, stage))
         began = time.monotonic()
         for trouble in day.troubles:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -13,7 +13,9 @@
 
 import msgspec
 import pytest
+from click.testing import CliRunner
 
+from otterglade.cli.main import main
 from otterglade.config.script import ConfigError, parse
 from otterglade.core.fleet.messages import Kind, Message, Seal
 from otterglade.core.fleet.recovery import Phase
@@ -22,7 +24,7 @@
 from otterglade.gateway import identity
 from otterglade.gateway.daemon import Gateway
 from otterglade.gateway.peers import RATE, PeerClient
-from otterglade.lab import power
+from otterglade.lab import fleet, power
 from otterglade.lab.links import Links
 from otterglade.lab.stage import KEY
 from otterglade.net.listener import bound
@@ -186,7 +188,8 @@
     try:
         until(lambda: peers.flooded > 1000)
         before, began = peers.received, time.monotonic()
-        assert trio.watch_at("g0", "v")[0] == 200
+        url = f"http://{trio.address_of(trio.of['g0'].listener)}/watch/timelapse/job-0.m3u8?viewer=v"
+        assert trio.get(url).status == 200
         assert peers.received - before < 2 * RATE * (time.monotonic() - began + 1.0)
     finally:
         stop.set()
@@ -293,3 +296,20 @@
     assert {x.claim.setup for x in second.kept.values()} == {"s0", "s1", "s2"}
     word, _ = second.claim(1.0, claim("other", viewer="v1"))
     assert word is not None and word.other is not None and word.other.setup == "s1"
+
+
+def test_operators_see_how_the_fleet_stands(trio: Trio) -> None:
+    trio.begin("g0", "g1")
+    until(lambda: trio.sees("g0", "g1") is Standing.ALIVE)
+    until(lambda: trio.peers("g0").status()["phase"] == "in service")
+    at = trio.address_of(trio.of["g0"].listener)
+    shown = CliRunner().invoke(main, ["peers", at])
+    assert shown.exit_code == 0, shown.output
+    assert "g1           alive" in shown.output and "g2           unknown" in shown.output
+    assert "not heard of yet" in shown.output
+    status = CliRunner().invoke(main, ["fleet", "status", at])
+    assert status.exit_code == 0 and "in service" in status.output and "does not hear g2" in status.output
+    away = CliRunner().invoke(main, ["fleet", "status", at, "127.0.0.1:1"])
+    assert away.exit_code == 1 and "not to be had" in away.output
+    phases = {x.value for x in Phase} - {Phase.SERVICE.value}
+    assert {*fleet.DOES} == phases, "each phase that can last says what a person can do"
--- a/tests/test_witness.py
+++ b/tests/test_witness.py
@@ -4,11 +4,12 @@
 
 import itertools
 import random
+from pathlib import Path
 
 import pytest
 
 from otterglade.core.claims import Claim
-from otterglade.core.fleet import recovery, witness
+from otterglade.core.fleet import recovery, trust, witness
 from otterglade.core.fleet.recovery import Bounds, Phase, Returns, Start, what_happened
 from otterglade.core.fleet.witness import (
     MOST_CLAIMS,
@@ -23,6 +24,7 @@
     WitnessError,
     Word,
 )  # fmt: skip
+from otterglade.explore import tables
 
 
 def claim(setup: str, viewer: str = "v", seen: bool = False, replaces: tuple[str, ...] = ()) -> Claim:
@@ -221,3 +223,15 @@
     boot: int, behind: int, ages: dict[str, float], members: int, hosts: tuple[int, int], start: Start
 ) -> None:
     assert what_happened(boot, behind, ages, 1.0, members, hosts, Bounds()) is start
+
+
+def test_the_tables_page_is_the_code() -> None:
+    path = Path(__file__).parent.parent / "docs" / "fleet-tables.md"
+    assert path.read_text() == tables.page(), "python -m otterglade.explore.tables > docs/fleet-tables.md"
+    assert {*trust.TRUST} == {*itertools.product(trust.Thing, Start)}
+
+
+def test_a_forgotten_disk_vouches_for_nothing_and_an_own_restart_for_all() -> None:
+    kept = {x for x in trust.Thing if trust.keeps(x, Start.NEW_DISK)}
+    assert kept == {trust.Thing.ATTEMPTS, trust.Thing.LIST, trust.Thing.BOOTS, trust.Thing.RUNS}
+    assert all(trust.keeps(x, None) and trust.keeps(x, Start.OWN) for x in trust.Thing)
