A witness whose disk is slow says so and is waited for; silence still ends at 0.4 s

Checked: the machine's disk was the cause (three quarters of the time somebody waited for it, an fdatasync of 100 bytes took 0.2 to 331 ms); excluded: lost datagrams (none without a fault), a full disk. Wrong: a witness asked again while its record was on the way to the disk said nothing, and nothing counts as silence after 0.4 s.

Change: it answers that its disk is at it; such a witness has until nobody waits for the attempt any more, one of whom nothing is heard has 0.4 s as before. What a stopping gateway keeps is waited for as long as its drain lasts, and of two writes of its identity the older can't come last.

--- a/otterglade/core/fleet/fleet.py
+++ b/otterglade/core/fleet/fleet.py
@@ -21,7 +21,7 @@
 """Seconds after which a witness that has not answered is asked again: ten times what an answer takes with its
 disk, a fifth of what it may take."""
 WITHIN = 0.4
-"""Seconds for witnesses, of a paid viewer's patience."""
+"""Seconds of a paid viewer's patience for a witness to say anything, if only that its disk is at it."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,7 +68,7 @@
         out: list[Out] = [Send(x) for x in self.members.tick(now)]
         for setup, poll in list(self._polls.items()):
             if now >= poll.until:
-                poll.silent("no answer")
+                poll.silent(now)
                 out += self._polled(setup, poll)
             elif now >= poll.again:
                 poll.again = now + AGAIN
@@ -88,7 +88,7 @@
                 case Kind.CLAIM:
                     claim = msgspec.msgpack.decode(message.body, type=Claim)
                     word, record = self.witness.claim(now, claim)
-                    out += [Keep(record, message.sender, word)] if word is not None else []
+                    out.append(Keep(record, message.sender, word))
                 case Kind.CLAIMED:
                     out += self._told(message.sender, msgspec.msgpack.decode(message.body, type=Word))
                 case Kind.SETTLED:
@@ -125,7 +125,8 @@
         out = self._asked(now, poll)
         if self.members.name in poll.asked:
             word, record = self.witness.claim(now, poll.claim)
-            out += [Keep(record, self.members.name, word)] if word is not None else []
+            poll.writing.add(self.members.name)
+            out.append(Keep(record, self.members.name, word))
         return out
 
     def _asked(self, now: float, poll: Poll) -> list[Out]:
--- a/otterglade/core/fleet/witness.py
+++ b/otterglade/core/fleet/witness.py
@@ -100,6 +100,8 @@
     """Why its word counts for nothing."""
     other: Claim | None = None
     """The claim that stands."""
+    writes: bool = False
+    """Its disk is at it: no word yet, and no silence."""
 
 
 class Settled(msgspec.Struct, frozen=True, array_like=True):
@@ -159,9 +161,9 @@
             else:
                 self.kept[name_of(record.claim)] = Kept(record.claim, stands, now)
 
-    def claim(self, now: float, claim: Claim) -> tuple[Word | None, bytes | None]:
-        """A claim: what to answer, None for nothing yet; and the record to make durable first, None where
-        nothing has changed. After a record `durable` or `failed` is due."""
+    def claim(self, now: float, claim: Claim) -> tuple[Word, bytes | None]:
+        """A claim: what to answer, and the record to make durable first, None where nothing has changed.
+        After a record `durable` or `failed` is due."""
         if self.abstains:
             return Word(claim.setup, False, self.abstains), None
         self._age(now)
@@ -180,7 +182,8 @@
             assert kept is not None, "contested by one that stands"
             return Word(claim.setup, False, other=kept.claim), None
         if kept is not None and event is Event.CLAIMED:
-            return (None if claim.setup in self._pending else Word(claim.setup, True)), None
+            writes = claim.setup in self._pending
+            return Word(claim.setup, not writes, writes=writes), None
         self._pending.add(claim.setup)
         bare = msgspec.structs.replace(claim, replaces=())
         self.kept[name] = Kept(bare, after, now)
@@ -248,7 +251,10 @@
     again: float = 0.0
     """When those who have not answered are asked again."""
     until: float = 0.0
-    """When they count as silent."""
+    """When those of whom nothing was heard count as silent."""
+    last: float = 0.0
+    """When nobody waits for the attempt any more: those whose disks are at it have until then."""
+    writing: set[str] = field(default_factory=set)
     granted: set[str] = field(default_factory=set)
     refused: dict[str, str] = field(default_factory=dict)
     """Who abstained, or was silent, and why."""
@@ -276,6 +282,9 @@
         """A witness's word; whether it was asked for."""
         if witness not in self.open or word.setup != self.claim.setup:
             return False
+        if word.writes:
+            self.writing.add(witness)
+            return False
         if word.granted:
             self.granted.add(witness)
         else:
@@ -285,9 +294,14 @@
                 self.other = word.other
         return True
 
-    def silent(self, why: str) -> None:
-        """Nobody who has not answered by now will."""
-        self.refused.update(dict.fromkeys(self.open, why))
+    def silent(self, now: float) -> None:
+        """Time has passed: who said nothing by `until` will say nothing; a slow disk is waited for."""
+        for witness in self.open:
+            if witness not in self.writing:
+                self.refused[witness] = "no answer"
+            elif now >= self.last:
+                self.refused[witness] = "its disk takes too long"
+        self.until = max(self.until, self.last)
 
 
 SETTLES = {Fate.RAN: True, Fate.NEVER_RAN: False, Fate.OVER: False}
--- a/otterglade/core/keeper.py
+++ b/otterglade/core/keeper.py
@@ -89,7 +89,8 @@
         if self._witness_count:
             claim = claim_of(entry, self._classes[setup.key[1]], self.replaced.of(setup.key))
             name = (claim.viewer, claim.session_class, claim.title)
-            self.polls[setup_key] = Poll(claim, tuple(witnesses(name, self._gateways, self._witness_count)))
+            chosen = tuple(witnesses(name, self._gateways, self._witness_count))
+            self.polls[setup_key] = Poll(claim, chosen, last=setup.until)
         return self.book.note(entry), asked, entry
 
     @staticmethod
--- a/otterglade/gateway/daemon.py
+++ b/otterglade/gateway/daemon.py
@@ -248,7 +248,7 @@
         if self._recorder is not None:
             self._recorder.close()
         if self.peers is not None:
-            self.peers.closed(1.0)
+            self.peers.closed(max(1.0, deadline - time.monotonic()))
         self.phase = "stopped"
         self._lock.release()
         self.log.info("stopped", unanswered=left, released=released)
--- a/otterglade/gateway/peers.py
+++ b/otterglade/gateway/peers.py
@@ -90,6 +90,7 @@
             self._socket.close()
             raise
         self._saves = Workers("identity", 1, on_failure)
+        self._saving = threading.Lock()
         self._witness = Witness(unsure_for, TOKEN_LIFE)
         self._log: Log | None = None
         self._identity = identity.Identity()
@@ -345,7 +346,8 @@
 
     def _save(self) -> bool:
         try:
-            identity.save(self._folder, self._identity)
+            with self._saving:  # of two at once the older must not come last
+                identity.save(self._folder, self._identity)
         except OSError as error:
             self._logger.warning("identity_not_kept", cause=str(error))
             return False
