--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -2,8 +2,8 @@
 
     python -m benchmarks.membership [--sizes 5,20,50,200] [--seconds 60]
 
-Each row is one mesh of that size: one member is killed and one stopped for ten seconds once the news of the start
-has been told. Times are of the killed one, at the median member and at the last.
+Each row is one mesh of that size: one member is killed and one stopped for ten seconds once the news of the
+start has been told. Times are of the killed one, at the median member and at the last.
 """
 
 from __future__ import annotations
--- a/otterglade/lab/fleet.py
+++ b/otterglade/lab/fleet.py
@@ -50,7 +50,9 @@
             now = time.monotonic()
             for process in list(stage.gateways.values()):
                 try:
-                    costs[process.name].append((now, *cost(process.child.pid)))
+                    memory, used = cost(process.child.pid)
+                    if memory:  # none: it has ended, and nobody has waited for it yet
+                        costs[process.name].append((now, memory, used))
                 except (OSError, IndexError):
                     continue  # it has ended since
 
