--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -40,7 +40,10 @@
     day = make(scenario, seconds, 11)
     # Many short sessions, half of them paid, and a prompt registry: a short day has what the fault needs.
     layout = replace(day.layout, class_share=(0.4, 0.6), late_list=0.1)
-    return play(replace(day, rate=12.0, layout=layout, watch=(1.0, 3.0)), folder, 11, plant=rule)
+    # At the day's own share two to six set-ups met the fault, and one run in some thirty none.
+    troubles = tuple(replace(x, value=0.9) if x.kind == "answer_lost" else x for x in day.troubles)
+    day = replace(day, rate=12.0, layout=layout, watch=(1.0, 3.0), troubles=troubles)
+    return play(day, folder, 11, plant=rule)
 
 
 @pytest.mark.long
