A paid set-up whose host drains while it is written and claimed is not sent there

Wrong: Desk.committed sends whatever was decided, however long disk and registrars took.

Change: where the host is no longer listed as ready by then, the attempt is not sent; it is written as never run before the next one is claimed, and the module places it elsewhere.

Measured: the new test fails for draining and for gone hosts without the change.

--- a/otterglade/core/desk.py
+++ b/otterglade/core/desk.py
@@ -164,11 +164,21 @@
         elif trouble:
             self._say("error", "attempt_not_recorded", session=session, cause=trouble)
             self._attempt_ended(held, api.Outcome.SKIPPED, None)
+        elif not self._is_ready(held.server):
+            # Disk and registrars took their time, and its host has been said to drain meanwhile: sent now it
+            # would come later than the grace allows.
+            self._say("info", "drained_meanwhile", session=session, server=held.server)
+            self._out.append(Fated(session, attempt, Fate.NEVER_RAN))  # its claims give way to the next one's
+            self._attempt_ended(held, api.Outcome.SKIPPED, None)
         else:
             held.sent, held.committed = True, attempt
             self._out.append(self._setup_of(held))
         return self._done()
 
+    def _is_ready(self, server: int) -> bool:
+        entry = self.entries.get(server)
+        return entry is not None and entry.state is api.State.READY
+
     def unclaimed(self, now: float, session: int, attempt: int, witnesses: str = "") -> list[Order]:
         """No registrar, or no majority of its witnesses (who, and why not), could be had for a paid
         attempt: it is not sent, as nobody could know of it."""
--- a/tests/test_desk_alone.py
+++ b/tests/test_desk_alone.py
@@ -78,6 +78,23 @@
     assert not desk.committed(deadline.at + 1.0, 9, 0, "disk full")  # nothing of it stands on the disk
 
 
+@pytest.mark.parametrize("state", [api.State.DRAINING, api.State.GONE])
+def test_an_attempt_whose_host_drains_while_it_is_written_is_not_sent_there(state: api.State) -> None:
+    says = Says()
+    desk = desk_of(says, durable=True)
+    says.answers[api.SessionRequest] = [api.StartAttempt(1, 0, 0.0)]
+    first = only(desk.ask(1.0, d.Ask(1, PAID, 4)), d.Commit).setup
+    desk.servers(1.1, api.ServerList((replace(entry(0), state=state),), complete=False))
+    says.answers[api.AttemptEnded] = [api.StartAttempt(1, 2, 0.0)]
+    orders = desk.committed(1.5, first.session, first.attempt)
+    assert not of(orders, d.SetUp)
+    fated, commit = only(orders, d.Fated), only(orders, d.Commit)
+    assert (fated.attempt, fated.fate) == (first.attempt, Fate.NEVER_RAN)
+    assert orders.index(fated) < orders.index(commit), "its claims give way to the next one's"
+    assert commit.setup.server == 2
+    assert only(desk.committed(1.6, first.session, commit.setup.attempt), d.SetUp).server == 2
+
+
 def test_a_hosts_word_on_an_earlier_attempt_ends_nothing() -> None:
     room = Room()
     first = only(room.ask(FILM), d.SetUp)
