Fleet read once more: names, keys and marks each worked out in one place; dead state gone

Keeper built a session's name beside witness.name_of; the peers' seal decoded the token keys a second time beside token_keys; the lab named its sync marks in two ways; the words with a higher number were listed twice in members.py beside the table that has them; Peer.knows was written and never read; what_happened had a parameter that no path could tell apart; the most set-ups at a cold host were counted as they came instead of taken from the counts.

Change: one piece each (name_of, _key_bytes, _marked, standing.NEWER, Members._size), the dead ones gone. Behaviour is the same; the test of what happened loses the dead argument and keeps every expectation.

--- a/otterglade/config/script.py
+++ b/otterglade/config/script.py
@@ -214,20 +214,24 @@
 def peer_seal(config: schema.Config) -> Seal:
     """What peers' messages are signed with. Raises ValueError naming the field."""
     assert config.tokens is not None, "checked"
-    token_keys(config)
-    return Seal({x: bytes.fromhex(y) for x, y in config.tokens.keys.items()}, config.tokens.sign_with)
+    return Seal(_key_bytes(config.tokens), config.tokens.sign_with)
 
 
 def token_keys(config: schema.Config) -> Tokens | None:
     """The keys of the script, None where it names none. Raises ValueError naming the field."""
     if config.tokens is None:
         return None
+    return Tokens(_key_bytes(config.tokens), config.tokens.sign_with)
+
+
+def _key_bytes(tokens: schema.Tokens) -> dict[str, bytes]:
+    """The keys by name. Raises ValueError naming the field."""
     keys = {}
-    for name, text in config.tokens.keys.items():
+    for name, text in tokens.keys.items():
         try:
             keys[name] = bytes.fromhex(text)
         except ValueError as error:
             raise ValueError(
                 f"tokens.keys.{name}: found {len(text)} characters; allowed: hex digits"
             ) from error
-    return Tokens(keys, config.tokens.sign_with)
+    return keys
--- a/otterglade/core/fleet/members.py
+++ b/otterglade/core/fleet/members.py
@@ -20,7 +20,7 @@
 from dataclasses import dataclass, field
 
 from .messages import Kind, Message, Piece, Seen
-from .standing import NEXT, Number, Said, Standing, said
+from .standing import NEWER, NEXT, Number, Said, Standing, said
 
 MOST_MEMBERS = 4096
 """Configured at most."""
@@ -76,8 +76,6 @@
     seen: Seen = field(default_factory=Seen)
     hello: float = -math.inf
     """When it was last told that it speaks to another run."""
-    knows: int = 0
-    """The highest boot of this gateway that it told of."""
 
     @property
     def known(self) -> int:
@@ -158,10 +156,15 @@
     def due(self) -> float:
         """When `tick` has something to do next."""
         times = [self._next, *(x.until for x in self._questions.values())]
-        size = len(self.living()) + 1 if self._suspects else 1
-        times += [self._expires(self.peers[x], size) for x in self._suspects]
+        if self._suspects:
+            size = self._size()
+            times += [self._expires(self.peers[x], size) for x in self._suspects]
         return min(times)
 
+    def _size(self) -> int:
+        """Of the fleet as far as it lives, this gateway included."""
+        return len(self.living()) + 1
+
     def drained(self) -> list[Change]:
         """What has changed since this was last asked."""
         found, self.changes = self.changes, []
@@ -181,7 +184,8 @@
     def leave(self, now: float) -> list[Message]:
         """This gateway stops in order: a few are told, and pass it on."""
         self._leaving = True
-        told = self._random.sample(sorted(self.living()), min(len(self.living()), 2 * self.pace.helpers))
+        living = self.living()
+        told = self._random.sample(living, min(len(living), 2 * self.pace.helpers))
         return [self.message(Kind.LEAVE, x, now) for x in told]
 
     # Time
@@ -195,7 +199,7 @@
         for number, question in list(self._questions.items()):
             if now >= question.until:
                 out += self._unanswered(now, number, question)
-        size = len(self.living()) + 1 if self._suspects else 1
+        size = self._size()
         for name in sorted(self._suspects):
             peer = self.peers[name]
             if now >= self._expires(peer, size):
@@ -350,7 +354,6 @@
                 self.behind = max(self.behind, message.knows)
         else:
             self.met = True
-            peer.knows = message.knows
         self._learn(now, peer, said(peer.number, standing, number), number, why)
 
     def _piece(self, now: float, piece: Piece) -> None:
@@ -372,7 +375,7 @@
             self._drop("old run")
             return
         word = said(peer.number, standing, number)
-        if word in (Said.SUSPECT_NEWER, Said.ALIVE_NEWER, Said.DEAD_NEWER, Said.LEFT_NEWER):
+        if word in NEWER:
             peer.by = set()
             if piece.boot > peer.number[0]:
                 peer.run, peer.seen = piece.run, Seen()  # a start that others have seen first
@@ -397,7 +400,7 @@
     def _learn(self, now: float, peer: Peer, word: Said, number: Number, why: str) -> None:
         before = peer.standing
         after = NEXT[before, word]
-        if word in (Said.ALIVE_NEWER, Said.SUSPECT_NEWER, Said.DEAD_NEWER, Said.LEFT_NEWER):
+        if word in NEWER:
             peer.number = number
             self._news[peer.name] = 0
             if after is not Standing.SUSPECT:
--- a/otterglade/core/fleet/recovery.py
+++ b/otterglade/core/fleet/recovery.py
@@ -93,10 +93,10 @@
 
 
 def what_happened(
-    boot: int, behind: int, ages: Mapping[str, float], own_age: float, members: int,
+    boot: int, behind: int, ages: Mapping[str, float], own_age: float,
     hosts: tuple[int, int], bounds: Bounds,
 ) -> Start:  # fmt: skip
-    """Which start this is. `ages`: seconds of the runs of peers that were met; `members`: configured others;
+    """Which start this is. `ages`: seconds of the runs of peers that were met;
     `hosts`: of those whose run is known from before, how many there are and how many have started anew."""
     if behind:
         return Start.NEW_DISK
@@ -106,7 +106,7 @@
     if young < len(ages):
         return Start.PART if young else Start.OWN
     if not ages:
-        return Start.OWN if members else Start.FIRST if boot == 1 else Start.OWN
+        return Start.OWN
     known, anew = hosts
     return Start.WHOLE if known and 2 * anew <= known else Start.BLACKOUT  # not known: the more careful
 
--- a/otterglade/core/fleet/standing.py
+++ b/otterglade/core/fleet/standing.py
@@ -75,6 +75,8 @@
 
 _SAME = {_A: Said.ALIVE_SAME, _S: Said.SUSPECT_SAME, _D: Said.DEAD_SAME, _L: Said.LEFT_SAME}
 _NEWER = {_A: Said.ALIVE_NEWER, _S: Said.SUSPECT_NEWER, _D: Said.DEAD_NEWER, _L: Said.LEFT_NEWER}
+NEWER = frozenset(_NEWER.values())
+"""Words with a higher number than the one that is held."""
 
 
 def said(held: Number, standing: Standing, number: Number) -> Said:
--- a/otterglade/core/keeper.py
+++ b/otterglade/core/keeper.py
@@ -16,7 +16,7 @@
 from .attempts import Book, Entry, Fate, Key, Question, Recovery, Settled, Word, resumed
 from .claims import Replaced, Waits, claim_of, registrars
 from .desk import Desk
-from .fleet.witness import Poll, Verdict, witnesses
+from .fleet.witness import Poll, Verdict, name_of, witnesses
 from .held import Phase
 from .messages import AskFate, Commit, Order, SetUp
 
@@ -88,8 +88,7 @@
         self.waits[setup_key] = Waits(setup, entry, set(asked))
         if self._witness_count:
             claim = claim_of(entry, self._classes[setup.key[1]], self.replaced.of(setup.key))
-            name = (claim.viewer, claim.session_class, claim.title)
-            chosen = tuple(witnesses(name, self._gateways, self._witness_count))
+            chosen = tuple(witnesses(name_of(claim), self._gateways, self._witness_count))
             self.polls[setup_key] = Poll(claim, chosen, last=setup.until)
         return self.book.note(entry), asked, entry
 
--- a/otterglade/gateway/peers.py
+++ b/otterglade/gateway/peers.py
@@ -387,7 +387,7 @@
         ages = {x.name: now - x.began for x in heard}
         behind = members.boot - 1 if self._identity.forgetful else 0
         returns.start = what_happened(
-            members.boot, behind, ages, now - members.began, len(members.peers), self._hosts_anew(),
+            members.boot, behind, ages, now - members.began, self._hosts_anew(),
             returns.bounds,
         )  # fmt: skip
         members.phase = returns.phase.value
--- a/otterglade/lab/fleet.py
+++ b/otterglade/lab/fleet.py
@@ -99,15 +99,13 @@
 
 def cold(records: Records) -> dict[str, int]:
     """Set-ups that hosts took within a second while they were cold, most in one; and hosts that fell over."""
-    most = 0
     per: dict[tuple[int, int], int] = defaultdict(int)
     started = {int(x["host"]): float(x["t"]) for x in records.of(records.stage, "host_killed")}
     for event in records.of(records.hosts, "asked"):
         host = int(event["host"])
         if host in started and 0.0 <= float(event["t"]) - started[host] <= 12.0:
             per[host, int(float(event["t"]))] += 1
-            most = max(most, per[host, int(float(event["t"]))])
-    return {"most_a_second": most, "fallen": len(records.of(records.hosts, "fallen"))}
+    return {"most_a_second": max(per.values(), default=0), "fallen": len(records.of(records.hosts, "fallen"))}
 
 
 # For people
@@ -150,9 +148,8 @@
     """Where a gateway stands, and whether it is in service."""
     fleet = said.get("fleet")
     if fleet is None:
-        return f"{said['gateway']} at {address}: {said['phase']}, speaks to no other gateway", said[
-            "phase"
-        ] == "taking"
+        told = f"{said['gateway']} at {address}: {said['phase']}, speaks to no other gateway"
+        return told, said["phase"] == "taking"
     away = [x for x, y in fleet["peers"].items() if y["standing"] in ("dead", "unknown")]
     told = f"{said['gateway']} at {address}: {fleet['phase']} for {fleet['since_s']:.0f} s ({fleet['start']})"
     told += f"; does not hear {', '.join(sorted(away))}" if away else "; hears all"
--- a/otterglade/lab/power.py
+++ b/otterglade/lab/power.py
@@ -17,6 +17,11 @@
 MARK = ".synced"
 
 
+def _marked(path: Path) -> Path:
+    """The file that notes how much of this one is synced."""
+    return path.with_name(path.name + MARK)
+
+
 class CountingDisk(RealDisk):
     """Notes what is synced. A mark is written after the sync and before it is told, so that it never says
     more."""
@@ -45,22 +50,18 @@
 
     def replace(self, old: Path, new: Path) -> None:
         super().replace(old, new)
-        self._marked(old).replace(self._marked(new))
+        _marked(old).replace(_marked(new))
 
     def remove(self, path: Path) -> None:
         super().remove(path)
-        self._marked(path).unlink(missing_ok=True)
+        _marked(path).unlink(missing_ok=True)
 
     def names(self, folder: Path) -> list[str]:
         return [x for x in super().names(folder) if not x.endswith(MARK)]
 
-    @staticmethod
-    def _marked(path: Path) -> Path:
-        return path.with_name(path.name + MARK)
-
     def _mark(self, path: Path, size: int) -> None:
         # In one write of fixed size: the process may be killed at any point, and the file is read after that.
-        fd = os.open(self._marked(path), os.O_WRONLY | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        fd = os.open(_marked(path), os.O_WRONLY | os.O_CREAT | os.O_CLOEXEC, 0o600)
         try:
             os.pwrite(fd, b"%016d\n" % size, 0)
         finally:
@@ -71,7 +72,7 @@
     """What a power loss leaves of a state folder whose process has ended; what was lost, in words."""
     told = []
     for log in sorted(x for x in state.rglob("*") if x.is_file() and not x.name.endswith(MARK)):
-        mark = log.with_name(log.name + MARK)
+        mark = _marked(log)
         size = log.stat().st_size
         if mark.exists():
             synced = min(size, int(mark.read_text() or 0))
--- a/tests/test_witness.py
+++ b/tests/test_witness.py
@@ -222,21 +222,21 @@
     assert returns.away(0.4, False, 5.0) == (5.0, Phase.ASIDE.value)
 
 
-@pytest.mark.parametrize(("boot", "behind", "ages", "members", "hosts", "start"), [
-    (1, 0, {"a": 1.0, "b": 2.0}, 2, (0, 0), Start.FIRST),
-    (1, 0, {}, 0, (0, 0), Start.FIRST),
-    (3, 0, {"a": 900.0, "b": 500.0}, 2, (6, 0), Start.OWN),
-    (3, 0, {"a": 900.0, "b": 2.0}, 2, (6, 0), Start.PART),
-    (3, 0, {"a": 1.0, "b": 2.0}, 2, (6, 1), Start.WHOLE),
-    (3, 0, {"a": 1.0, "b": 2.0}, 2, (6, 6), Start.BLACKOUT),
-    (3, 0, {"a": 1.0, "b": 2.0}, 2, (0, 0), Start.BLACKOUT),
-    (1, 7, {"a": 900.0}, 2, (0, 0), Start.NEW_DISK),
-    (3, 0, {}, 2, (6, 6), Start.OWN),
+@pytest.mark.parametrize(("boot", "behind", "ages", "hosts", "start"), [
+    (1, 0, {"a": 1.0, "b": 2.0}, (0, 0), Start.FIRST),
+    (1, 0, {}, (0, 0), Start.FIRST),
+    (3, 0, {"a": 900.0, "b": 500.0}, (6, 0), Start.OWN),
+    (3, 0, {"a": 900.0, "b": 2.0}, (6, 0), Start.PART),
+    (3, 0, {"a": 1.0, "b": 2.0}, (6, 1), Start.WHOLE),
+    (3, 0, {"a": 1.0, "b": 2.0}, (6, 6), Start.BLACKOUT),
+    (3, 0, {"a": 1.0, "b": 2.0}, (0, 0), Start.BLACKOUT),
+    (1, 7, {"a": 900.0}, (0, 0), Start.NEW_DISK),
+    (3, 0, {}, (6, 6), Start.OWN),
 ])  # fmt: skip
 def test_what_happened_is_told_from_boots_ages_and_hosts_runs(
-    boot: int, behind: int, ages: dict[str, float], members: int, hosts: tuple[int, int], start: Start
+    boot: int, behind: int, ages: dict[str, float], hosts: tuple[int, int], start: Start
 ) -> None:
-    assert what_happened(boot, behind, ages, 1.0, members, hosts, Bounds()) is start
+    assert what_happened(boot, behind, ages, 1.0, hosts, Bounds()) is start
 
 
 def test_the_tables_page_is_the_code() -> None:
