--- a/otterglade/core/claims.py
+++ b/otterglade/core/claims.py
@@ -52,10 +52,10 @@
     replaces: tuple[str, ...] = ()
     """Set-up keys of the same session that are settled: their claims give way."""
 
-    def entry(self, lane: int, at: float) -> Entry:
+    def entry(self, class_no: int, at: float) -> Entry:
         """As an open attempt, to be found out."""
         fate = Fate.RAN if self.seen else Fate.BEGUN
-        key = (self.viewer, lane, self.title)
+        key = (self.viewer, class_no, self.title)
         return Entry(self.setup, fate, at, key, self.server, self.epoch, self.rung, self.top)
 
 
--- a/otterglade/core/interface.py
+++ b/otterglade/core/interface.py
@@ -186,7 +186,7 @@
 @dataclass(frozen=True, slots=True)
 class SessionRequest:
     session: int
-    lane: int
+    class_no: int
     tenant: int
     title: str
     patience: float
--- a/otterglade/core/policy.py
+++ b/otterglade/core/policy.py
@@ -103,7 +103,7 @@
     # A request: guards, choice, set-up
 
     def _request(self, request: api.SessionRequest) -> None:
-        session = Session(request, self.s.classes[request.lane], self.now)
+        session = Session(request, self.s.classes[request.class_no], self.now)
         self.sessions[request.session] = session
         self.taken.add(self.now, 1.0)
         if not self._asks(session):
@@ -129,9 +129,9 @@
     def _seat_free(self, session: Session) -> bool:
         if not session.terms.seats:
             return True
-        lane, title = session.request.lane, session.request.title
+        class_no, title = session.request.class_no, session.request.title
         held = [x for x in self.sessions.values() if x.server and x.request.title == title]
-        return sum(x.request.lane == lane for x in held) < session.terms.seats
+        return sum(x.request.class_no == class_no for x in held) < session.terms.seats
 
     def _budget_allows(self, session: Session) -> bool:
         """Further attempts are rationed where the site says so, so that a bad spell is not made worse."""
@@ -297,8 +297,8 @@
             freed = high.rate - high.server.rate_of(high, high.rung - 1, self.s)
             better = self._fits(session, server, room + freed)
             if better > rung and self._step_worth(
-                session.request.lane, better
-            ) > SWAP_GAIN * self._step_worth(high.request.lane, high.rung):
+                session.request.class_no, better
+            ) > SWAP_GAIN * self._step_worth(high.request.class_no, high.rung):
                 self._set_rung(high, high.server, high.rung - 1)
                 rung = better
         return rung
@@ -372,17 +372,19 @@
         It goes to the steps that earn most for each kB, over the classes as they come here; the last one is
         given by a draw, so that the mean is kept.
         """
-        rates, lanes = self.s.ladder, [x.request.lane for x in self.sessions.values()]
-        share = [lanes.count(n) / len(lanes) for n in range(len(self.s.classes))]
+        rates, present = self.s.ladder, [x.request.class_no for x in self.sessions.values()]
+        share = [present.count(n) / len(present) for n in range(len(self.s.classes))]
         steps, left, rung = [], mean, session.terms.floor
-        for lane, terms in enumerate(self.s.classes):
-            left -= share[lane] * rates[terms.floor] * terms.scale
-            steps += [(-self._step_worth(lane, x), lane, x) for x in range(terms.floor + 1, terms.top + 1)]
-        for _, lane, step in sorted(steps):
-            cost = share[lane] * (rates[step] - rates[step - 1]) * self.s.classes[lane].scale
+        for class_no, terms in enumerate(self.s.classes):
+            left -= share[class_no] * rates[terms.floor] * terms.scale
+            steps += [
+                (-self._step_worth(class_no, x), class_no, x) for x in range(terms.floor + 1, terms.top + 1)
+            ]
+        for _, class_no, step in sorted(steps):
+            cost = share[class_no] * (rates[step] - rates[step - 1]) * self.s.classes[class_no].scale
             if left <= 0:
                 break
-            if lane == session.request.lane and left > cost * self.random.random():
+            if class_no == session.request.class_no and left > cost * self.random.random():
                 rung = max(rung, step)
             left -= cost
         return min(rung, session.top)
@@ -396,7 +398,7 @@
         found, top, least = None, 0, math.inf
         for x in use.sessions.values():
             if x.rung >= top and x.playing and x.rung > x.terms.floor:
-                worth = self._step_worth(x.request.lane, x.rung)
+                worth = self._step_worth(x.request.class_no, x.rung)
                 if x.rung > top or worth < least:
                     found, top, least = x, x.rung, worth
         return found
@@ -405,14 +407,14 @@
         server.put(session, rung, self.now, self.s)
         self.out.append(api.ChooseRung(session.number, rung))
 
-    def _step_worth(self, lane: int, rung: int) -> float:
+    def _step_worth(self, class_no: int, rung: int) -> float:
         """Worth a second, for each kB, of a class's step up to this rung."""
-        known = self.steps.get((lane, rung))
+        known = self.steps.get((class_no, rung))
         if known is None:
-            worths, rates, terms = self.s.ladder_worth, self.s.ladder, self.s.classes[lane]
+            worths, rates, terms = self.s.ladder_worth, self.s.ladder, self.s.classes[class_no]
             gain = (worths[rung] - worths[rung - 1]) * terms.worth
             known = gain / max((rates[rung] - rates[rung - 1]) * terms.scale, 1e-9)
-            self.steps[lane, rung] = known
+            self.steps[class_no, rung] = known
         return known
 
     def _pays(self, session: Session, rung: int) -> bool:
@@ -443,7 +445,7 @@
         able = [
             x for x in uplink.sessions.values() if x.playing and x.rung < x.top and self._pays(x, x.rung + 1)
         ]
-        for session in sorted(able, key=lambda x: -self._step_worth(x.request.lane, x.rung + 1)):
+        for session in sorted(able, key=lambda x: -self._step_worth(x.request.class_no, x.rung + 1)):
             server = session.server
             if server is None or self.now < server.link.climb_after:
                 continue
@@ -525,7 +527,7 @@
         server, request = self.fleet.servers.get(event.server), event.request
         if server is None:
             return
-        session = Session(request, self.s.classes[request.lane], self.now, started=self.now, playing=True)
+        session = Session(request, self.s.classes[request.class_no], self.now, started=self.now, playing=True)
         self.sessions[request.session] = session
         session.tried.append(event.server)
         server.put(session, session.terms.floor, self.now, self.s)
--- a/otterglade/core/sessions.py
+++ b/otterglade/core/sessions.py
@@ -178,9 +178,9 @@
             self._out.append(Spent(self.budget.spends))
         return allowed
 
-    def _patience(self, lane: int) -> float:
+    def _patience(self, class_no: int) -> float:
         """Seconds for which a viewer of a class who asks now can be made to wait for his answer."""
-        patience = self.terms.patience[lane]
+        patience = self.terms.patience[class_no]
         return patience - self.margin.of(self.now, self.terms.margin, patience)
 
     def _choose_rung(self, session: int, rung: int) -> None:
@@ -201,11 +201,11 @@
     # Sessions
 
     def _take(self, ask: Ask, patience: float, replaces: Held | None) -> None:
-        place, lane = self.catalogue.get(ask.key[2]), ask.key[1]
+        place, class_no = self.catalogue.get(ask.key[2]), ask.key[1]
         if place is None:
             self._reply(ask.waiter, Failed("unknown title"))
             return
-        paid = self.settings.classes[lane].effect is not api.Effect.SAFE
+        paid = self.settings.classes[class_no].effect is not api.Effect.SAFE
         held = Held(self._next, ask.key, paid, self.now + patience, ask.top, replaces=replaces)
         self._next += 1
         self.held[held.number] = held
@@ -218,7 +218,7 @@
         self._out.append(Alarm(held.deadline, AlarmKind.DEADLINE, held.number))
         self._feed(
             api.SessionRequest(
-                held.number, lane, 0, ask.key[2], patience, ask.hint, place.home, place.holders, ask.top,
+                held.number, class_no, 0, ask.key[2], patience, ask.hint, place.home, place.holders, ask.top,
                 moved=replaces is not None,
             )
         )  # fmt: skip
--- a/otterglade/core/state.py
+++ b/otterglade/core/state.py
@@ -139,9 +139,9 @@
         """What a session asks of the link at a rung: a further viewer of a shared live stream adds less."""
         rate = settings.ladder[rung] * session.terms.scale
         if session.terms.live and settings.shared_adds < 1:
-            mine = (session.request.lane, session.request.title, rung)
+            mine = (session.request.class_no, session.request.title, rung)
             for other in self.sessions.values():
-                if other is not session and (other.request.lane, other.request.title, other.rung) == mine:
+                if other is not session and (other.request.class_no, other.request.title, other.rung) == mine:
                     return rate * settings.shared_adds
         return rate
 
--- a/otterglade/drill.py
+++ b/otterglade/drill.py
@@ -48,12 +48,12 @@
                            float(parts[5]), started)  # fmt: skip
 
 
-def _request(session: str, lane: str, tenant: str, title: str, patience: str, estimate: str, home: str,
+def _request(session: str, class_no: str, tenant: str, title: str, patience: str, estimate: str, home: str,
              holders: str, top: str, bits: str) -> api.SessionRequest:  # fmt: skip
     marks = int(bits)
     hint = float(estimate) / MS if marks & 1 and estimate != "-" else None
     return api.SessionRequest(
-        int(session), int(lane), int(tenant) if tenant != "-" else 0, title,
+        int(session), int(class_no), int(tenant) if tenant != "-" else 0, title,
         0.0 if patience == "-" else float(patience) / MS, hint, int(home), int(holders), int(top),
         moved=bool(marks & 8), again=bool(marks & 16),
     )  # fmt: skip
--- a/otterglade/explore/story.py
+++ b/otterglade/explore/story.py
@@ -149,16 +149,16 @@
 
 
 def told(scope: Scope, acts: list[Act], broken: str = "", what: str = "") -> str:
-    """A story as numbered steps with a lane for each viewer, gateway and host."""
+    """A story as numbered steps with a column for each viewer, gateway and host."""
     world = World(scope)
-    lanes = [f"v{n}" for n in range(scope.viewers)] + [f"g{n}" for n in range(scope.gateways)]
-    lanes += [f"h{n}" for n in range(scope.hosts)] + [f"w{n}" for n in range(scope.witnesses)]
-    lines = ["     " + "".join(f"{x:^5}" for x in lanes)]
+    columns = [f"v{n}" for n in range(scope.viewers)] + [f"g{n}" for n in range(scope.gateways)]
+    columns += [f"h{n}" for n in range(scope.hosts)] + [f"w{n}" for n in range(scope.witnesses)]
+    lines = ["     " + "".join(f"{x:^5}" for x in columns)]
     for number, act in enumerate(acts, 1):
         world = unpack(pack(world))
         source, target, said = _arrow(world, act)
         lines.append(
-            f"{number:3d}  {_row(lanes, source, target)}  {' '.join(x for x in (source, said) if x)}"
+            f"{number:3d}  {_row(columns, source, target)}  {' '.join(x for x in (source, said) if x)}"
         )
         try:
             do(world, act)
@@ -169,14 +169,14 @@
     return "\n".join(lines)
 
 
-def _row(lanes: list[str], source: str, target: str) -> str:
-    cells = list("  |  " * len(lanes))
-    places = sorted(lanes.index(x) * 5 + 2 for x in (source, target) if x in lanes)
+def _row(columns: list[str], source: str, target: str) -> str:
+    cells = list("  |  " * len(columns))
+    places = sorted(columns.index(x) * 5 + 2 for x in (source, target) if x in columns)
     if len(places) == 2:
         for n in range(places[0], places[1]):
             cells[n] = "-"
         cells[places[0]] = cells[places[1]] = "+"
-        cells[lanes.index(target) * 5 + 2] = ">" if lanes.index(target) > lanes.index(source) else "<"
+        cells[columns.index(target) * 5 + 2] = ">" if columns.index(target) > columns.index(source) else "<"
     elif places:
         cells[places[0]] = "*"
     return "".join(cells)
--- a/otterglade/gateway/front.py
+++ b/otterglade/gateway/front.py
@@ -130,8 +130,8 @@
 
     def _watch(self, exchange: Exchange, class_: str, title: str, query: str) -> bytes:
         arrived = time.monotonic()
-        lane = self._offer.classes.get(class_)
-        if lane is None:
+        class_no = self._offer.classes.get(class_)
+        if class_no is None:
             known = ", ".join(self._offer.classes)
             return exchange.reply(404, [PLAIN], f"class: found {class_!r}; known are {known}\n".encode())
         try:
@@ -148,8 +148,8 @@
             top, hint = whole(given.get("top"), "top", self._offer.top), decimal(given.get("hint"), "hint")
         except QueryError as error:
             return exchange.reply(400, [PLAIN], f"{error}\n".encode())
-        key = (viewer, lane, title)
-        deadline = arrived + self._offer.patience[lane] - self._offer.margin / 2
+        key = (viewer, class_no, title)
+        deadline = arrived + self._offer.patience[class_no] - self._offer.margin / 2
         ask = d.Ask(next(self._numbers), key, min(top, self._offer.top), hint)
         live = self._sessions.of_key(key)
         if live is None:
@@ -290,10 +290,10 @@
     def _claimed(self, waiter: int, name: str) -> tuple[d.Ask, Entry]:
         """The request of a viewer who comes with another gateway's name of a session. Raises TokenError."""
         claim = self._sessions.claim(name)
-        lane = self._offer.classes.get(claim.session_class)
-        if lane is None or claim.title not in self._offer.titles:
+        class_no = self._offer.classes.get(claim.session_class)
+        if class_no is None or claim.title not in self._offer.titles:
             raise TokenError("its class or title is not known here")
-        key = (claim.viewer, lane, claim.title)
+        key = (claim.viewer, class_no, claim.title)
         top = min(claim.top, self._offer.top)
         entry = Entry(claim.setup, Fate.RAN, time.time(), key, claim.server, "", claim.rung, top)
         return d.Ask(waiter, key, top), entry
--- a/otterglade/gateway/hosts.py
+++ b/otterglade/gateway/hosts.py
@@ -250,9 +250,9 @@
         host = self.hosts.get(order.server)
         if host is None or call.cancelled:
             raise ExchangeError(Phase.CONNECT, Trouble.CANCELLED, "not listed, or given up while it waited")
-        viewer, lane, title = order.key
+        viewer, class_no, title = order.key
         left = max(0.0, order.until - time.monotonic())
-        body = SetupBody(viewer, self._classes[lane], title, order.rung, order.paid, self._gateway)
+        body = SetupBody(viewer, self._classes[class_no], title, order.rung, order.paid, self._gateway)
         answer = host.client.exchange(
             b"PUT", f"/sessions/{self.setup_key(order.session, order.attempt)}".encode(),
             fields=[(b"Content-Type", b"application/json"), (b"Setup-Within", b"%.3f" % left)],
--- a/otterglade/gateway/sessions.py
+++ b/otterglade/gateway/sessions.py
@@ -76,10 +76,10 @@
         known = self._names.get(view.key)
         if known is not None:
             return known
-        viewer, lane, title = view.key
+        viewer, class_no, title = view.key
         until = int(time.time() + self._life)
         return self._tokens.sign(
-            Claim(viewer, self._classes[lane], title, view.top, view.rung, view.server, setup, until)
+            Claim(viewer, self._classes[class_no], title, view.top, view.rung, view.server, setup, until)
         )
 
     def find(self, name: str) -> Live | None:
--- a/otterglade/node/door.py
+++ b/otterglade/node/door.py
@@ -42,7 +42,7 @@
 
     session: bytes
     viewer: Viewer | None
-    lane: bytes
+    class_no: bytes
     title: str
     description: bytes
     number: int = 0
@@ -214,8 +214,8 @@
             if playing_at is None:
                 self._doubled(viewer, message, known)
             return
-        lane = message.fields[b"x-tier"]
-        seat = Seat(session, viewer, lane, request.title, message.body)
+        class_no = message.fields[b"x-tier"]
+        seat = Seat(session, viewer, class_no, request.title, message.body)
         self.seats[session] = seat
         if playing_at is None:
             if len(viewer.open) >= OPEN_MOST:
--- a/otterglade/node/gateway.py
+++ b/otterglade/node/gateway.py
@@ -128,7 +128,7 @@
             self._event(lambda now: self.setups.ended(now, number, attempt, api.Outcome.REFUSED))
             return
         wire = messages.attempt(
-            seat.session, seat.lane, seat.title, seat.description, order.rung, order.time_out
+            seat.session, seat.class_no, seat.title, seat.description, order.rung, order.time_out
         )
         host.set_up(Attempt(number, attempt, seat.session, wire))
 
--- a/otterglade/node/messages.py
+++ b/otterglade/node/messages.py
@@ -52,7 +52,7 @@
     if message.fields.get(b"cseq") != b"1":
         raise BadRequestError("CSeq: 1 expected")
     try:
-        lane = classes.index(message.fields.get(b"x-tier", b"").decode("latin-1"))
+        class_no = classes.index(message.fields.get(b"x-tier", b"").decode("latin-1"))
     except ValueError:
         raise BadRequestError("X-Tier: no such class") from None
     patience = _number(message.fields.get(b"x-deadline"), "X-Deadline") / MS
@@ -77,8 +77,8 @@
     if where is not None and not HOST_NAME.match(where):
         raise BadRequestError("X-Attrs: at names no host")
     request = api.SessionRequest(
-        session=0, lane=lane, tenant=0, title=title[1].decode("ascii"), patience=patience, hint=length,
-        home=home, holders=holders, top=top, again=attrs.get(b"again") == b"1",
+        session=0, class_no=class_no, tenant=0, title=title[1].decode("ascii"), patience=patience,
+        hint=length, home=home, holders=holders, top=top, again=attrs.get(b"again") == b"1",
     )  # fmt: skip
     return request, where.decode("ascii") if where is not None else None
 
@@ -191,11 +191,13 @@
 # Messages to hosts
 
 
-def attempt(session: bytes, lane: bytes, title: str, description: bytes, rung: int, time_out: float) -> bytes:
+def attempt(
+    session: bytes, class_no: bytes, title: str, description: bytes, rung: int, time_out: float
+) -> bytes:
     fields = (
         (b"CSeq", b"1"),
         (b"Session", session),
-        (b"X-Tier", lane),
+        (b"X-Tier", class_no),
         (b"X-Deadline", b"%d" % max(1, int(time_out * MS))),
         (b"Rate-Step", b"%d" % rung),
     )
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -35,7 +35,7 @@
 
 def request(session: int, **changes: Any) -> api.SessionRequest:
     base = api.SessionRequest(
-        session=session, lane=0, tenant=0, title="a", patience=4.0, hint=60.0, home=0, holders=4, top=4
+        session=session, class_no=0, tenant=0, title="a", patience=4.0, hint=60.0, home=0, holders=4, top=4
     )
     return replace(base, **changes)
 
--- a/tests/platform.py
+++ b/tests/platform.py
@@ -279,9 +279,9 @@
         self.connection = Connection(socket.create_connection(address, timeout=WAIT), self.got.put)
         self.connection.sock.settimeout(None)
 
-    def set_up(self, lane: bytes = b"free", session: bytes = b"", **changes: bytes) -> bytes:
+    def set_up(self, class_no: bytes = b"free", session: bytes = b"", **changes: bytes) -> bytes:
         session = session or fresh()
-        self.connection.send(set_up(session, lane, **changes))
+        self.connection.send(set_up(session, class_no, **changes))
         return session
 
     def wait(self, session: bytes, within: float = WAIT) -> rtsp.Message:
@@ -300,11 +300,11 @@
 
 
 def set_up(
-    session: bytes, lane: bytes = b"free", title: bytes = b"7f3a9c21e0b4d655", deadline: bytes = b"2500",
+    session: bytes, class_no: bytes = b"free", title: bytes = b"7f3a9c21e0b4d655", deadline: bytes = b"2500",
     hint: bytes = b"8200.0", attrs: bytes = b"home:0;copies:3;top:2;viewer:00000000b4d65521",
     body: bytes = DESCRIPTION,
 ) -> bytes:  # fmt: skip
-    given = [(b"CSeq", b"1"), (b"Session", session), (b"X-Tier", lane), (b"X-Deadline", deadline)]
+    given = [(b"CSeq", b"1"), (b"Session", session), (b"X-Tier", class_no), (b"X-Deadline", deadline)]
     given += [(b"Expected-Ms", hint), (b"X-Attrs", attrs)]
     return rtsp.request(b"SETUP", b"rtsp://media/" + title, given, body)
 
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -319,9 +319,9 @@
         self.room.ask(key, moving)
         self.see()
 
-    @rule(viewer=st.sampled_from("uvw"), lane=st.integers(0, 1), title=st.sampled_from("ab"))
-    def ask(self, viewer: str, lane: int, title: str) -> None:
-        self.wait_on((viewer, lane, title), False)
+    @rule(viewer=st.sampled_from("uvw"), class_no=st.integers(0, 1), title=st.sampled_from("ab"))
+    def ask(self, viewer: str, class_no: int, title: str) -> None:
+        self.wait_on((viewer, class_no, title), False)
 
     @rule(viewer=st.sampled_from("uvw"), title=st.sampled_from("ab"))
     def next_segment(self, viewer: str, title: str) -> None:
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -45,8 +45,8 @@
 
     def use(self) -> float:
         asked_rate = sum(
-            self.site.ladder[rung] * self.site.classes[lane].scale
-            for _, lane, rung, _ in self.playing.values()
+            self.site.ladder[rung] * self.site.classes[class_no].scale
+            for _, class_no, rung, _ in self.playing.values()
         )
         return asked_rate / self.site.rack_link
 
@@ -57,12 +57,12 @@
     def carry(self, now: float, gate: int, actions: list[api.Action]) -> None:
         for number, rung in rungs(actions):
             if number in self.playing:
-                _, lane, _, until = self.playing[number]
-                self.playing[number] = (gate, lane, rung, until)
+                _, class_no, _, until = self.playing[number]
+                self.playing[number] = (gate, class_no, rung, until)
             else:
                 session = self.gates[gate].sessions[number]
                 until = now + LIFE * self.random.expovariate(1.0)
-                self.playing[number] = (gate, session.request.lane, rung, until)
+                self.playing[number] = (gate, session.request.class_no, rung, until)
                 self.first.append((now, rung))
         for action in actions:
             if isinstance(action, api.StartAttempt):
@@ -91,7 +91,7 @@
             self.requests += 1
             gate = 0 if self.random.random() < busiest else self.random.randrange(len(self.gates))
             ask = request(
-                self.requests, lane=int(self.random.random() < 0.35), hint=LIFE,
+                self.requests, class_no=int(self.random.random() < 0.35), hint=LIFE,
                 home=self.random.randrange(HOSTS), holders=3, title=f"t{self.requests}",
             )  # fmt: skip
             self.carry(now, gate, self.gates[gate].handle(now, ask))
@@ -99,8 +99,8 @@
         self.past.append((now, use))
         short = max(0.0, 1.0 - 1.0 / (0.98 * max(use, 1.0 / 0.98)))
         worths = [
-            self.site.classes[lane].worth * self.site.ladder_worth[rung]
-            for _, lane, rung, _ in self.playing.values()
+            self.site.classes[class_no].worth * self.site.ladder_worth[rung]
+            for _, class_no, rung, _ in self.playing.values()
         ]
         self.earned += 0.1 * sum(worths) * max(0.0, 1.0 - self.site.stall * short)
 
@@ -188,8 +188,8 @@
     assert {gate._dealt(_session(gate, 1), -5.0)} == {PAID.floor}
 
 
-def _session(gate: Controller, lane: int) -> Session:
-    return Session(request(1, lane=lane), gate.s.classes[lane], 1000.0)
+def _session(gate: Controller, class_no: int) -> Session:
+    return Session(request(1, class_no=class_no), gate.s.classes[class_no], 1000.0)
 
 
 def test_a_gateway_that_sees_the_pool_full_sends_no_one_to_the_top() -> None:
@@ -199,7 +199,7 @@
     load = api.Load(link=0.5, uplink=1.3)
     for server in range(HOSTS):
         gate.handle(1010.0, api.ProbeAnswered(server, api.Outcome.DONE, 0.0, load))
-    actions = gate.handle(1010.01, request(90_000, lane=0, hint=LIFE))
+    actions = gate.handle(1010.01, request(90_000, class_no=0, hint=LIFE))
     assert not asked(actions)
     assert [rung for _, rung in rungs(actions)] in ([0], [])
     assert sent(actions) or [x for x in actions if isinstance(x, api.Refuse)]
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -51,7 +51,7 @@
     assert rung == 2
     for server in range(4):
         controller.handle(1000.1, api.LoadNote(server, api.Load(link=1.0)))
-    [(_, rung)] = rungs(controller.handle(1000.2, request(2, lane=1)))
+    [(_, rung)] = rungs(controller.handle(1000.2, request(2, class_no=1)))
     assert rung == PAID.floor
 
 
@@ -89,14 +89,14 @@
 
 def test_a_paid_set_up_is_never_repeated_or_refused_after_it_may_have_run() -> None:
     controller = fleet()
-    [server] = sent(controller.handle(1000.1, request(1, lane=1)))
+    [server] = sent(controller.handle(1000.1, request(1, class_no=1)))
     actions = controller.handle(1001.0, ended(1, server, api.Outcome.TIMED_OUT))
     assert answers(actions) == ["Fail"] and not sent(actions)
 
 
 def test_a_paid_set_up_that_never_ran_is_tried_elsewhere() -> None:
     controller = fleet()
-    [server] = sent(controller.handle(1000.1, request(1, lane=1)))
+    [server] = sent(controller.handle(1000.1, request(1, class_no=1)))
     [other] = sent(controller.handle(1000.2, ended(1, server, api.Outcome.REFUSED)))
     assert other != server
 
@@ -104,9 +104,9 @@
 def test_seats_are_counted_from_the_set_up() -> None:
     controller = fleet()
     for n in (1, 2):
-        assert sent(controller.handle(1000.1, request(n, lane=1)))
-    assert answers(controller.handle(1000.1, request(3, lane=1))) == ["Refuse"]
-    assert sent(controller.handle(1000.1, request(4, lane=1, title="b")))
+        assert sent(controller.handle(1000.1, request(n, class_no=1)))
+    assert answers(controller.handle(1000.1, request(3, class_no=1))) == ["Refuse"]
+    assert sent(controller.handle(1000.1, request(4, class_no=1, title="b")))
 
 
 def test_waiting_sessions_do_not_break_the_attempt_budget() -> None:
@@ -163,7 +163,7 @@
     failed = 0
     for n in range(40):
         now = 1000.1 + n / 50
-        (server,) = sent(controller.handle(now, request(n, lane=1, title=f"t{n}")))
+        (server,) = sent(controller.handle(now, request(n, class_no=1, title=f"t{n}")))
         if server == 2:
             failed += 1
             controller.handle(now, ended(n, 2, api.Outcome.ERROR))
@@ -176,7 +176,7 @@
     controller = fleet(SITE, entry(0))
     for n in range(30):
         now = 1000.1 + n / 50
-        assert sent(controller.handle(now, request(n, lane=1, title=f"t{n}"))) == [0]
+        assert sent(controller.handle(now, request(n, class_no=1, title=f"t{n}"))) == [0]
         bad = n % 3 != 0
         told = ended(n, 0, api.Outcome.ERROR) if bad else api.SessionPlays(n, 0, 0, 0.01)
         controller.handle(now, told)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -49,7 +49,7 @@
         self.check(self.controller.start(self.now))
         self.feed(api.ServerList(tuple(entry(n) for n in range(4)), complete=True, cached=True))
         for number in (1001, 1002):  # sessions that play when the gateway takes over
-            self.requests[number] = request(number, lane=1)
+            self.requests[number] = request(number, class_no=1)
             self.out[number] = (number % 4, 0)
             self.playing.add(number)
             self.feed(api.SessionHandedOver(self.requests[number], number % 4))
@@ -65,18 +65,18 @@
                     self.sent(session, server)
                 case api.Refuse(session) | api.Fail(session):
                     assert session in self.open and session not in self.out, "answered twice, or while out"
-                    terms = self.site.classes[self.requests[session].lane]
+                    terms = self.site.classes[self.requests[session].class_no]
                     if isinstance(action, api.Refuse) and terms.effect is api.Effect.UNSAFE:
                         assert session not in self.ran, "refused though it may have run"
                     del self.open[session]
                 case api.ChooseRung(session, rung):
-                    terms = self.site.classes[self.requests[session].lane]
+                    terms = self.site.classes[self.requests[session].class_no]
                     top = max(terms.floor, self.requests[session].top)
                     assert terms.floor <= rung <= top, "rung outside its terms"
 
     def sent(self, session: int, server: int) -> None:
         one = self.requests[session]
-        terms = self.site.classes[one.lane]
+        terms = self.site.classes[one.class_no]
         assert session in self.open, "sent after its end"
         assert session not in self.out, "two attempts at once"
         assert terms.effect is not api.Effect.UNSAFE or session not in self.ran, "set up twice"
@@ -99,7 +99,7 @@
             held = [
                 x
                 for x in self.out
-                if self.requests[x].lane == one.lane and self.requests[x].title == one.title
+                if self.requests[x].class_no == one.class_no and self.requests[x].title == one.title
             ]
             assert len(held) <= terms.seats, "over the seats"
 
@@ -108,7 +108,7 @@
         waiting = sorted(set(self.out) - self.playing)
         if kind <= 3:
             self.count += 1
-            one = request(self.count, lane=pick % 2, title="ab"[pick % 5 // 4])
+            one = request(self.count, class_no=pick % 2, title="ab"[pick % 5 // 4])
             self.requests[self.count] = self.open[self.count] = one
             self.taken.append(self.now)
             self.feed(one)
--- a/tests/test_setups.py
+++ b/tests/test_setups.py
@@ -27,9 +27,17 @@
     return api.ServerEntry(server=number, zone=0, kind=0, cell=number, state=state, weight=1.0, started=0.0)
 
 
-def terms(lane: int = FREE, patience: float = 2.0) -> api.SessionRequest:
+def terms(class_no: int = FREE, patience: float = 2.0) -> api.SessionRequest:
     return api.SessionRequest(
-        session=0, lane=lane, tenant=0, title="a", patience=patience, hint=8.0, home=0, holders=3, top=2
+        session=0,
+        class_no=class_no,
+        tenant=0,
+        title="a",
+        patience=patience,
+        hint=8.0,
+        home=0,
+        holders=3,
+        top=2,
     )
 
 
@@ -47,7 +55,7 @@
         self.out: dict[int, tuple[int, int]] = {}
         self.standing: dict[int, tuple[int, int]] = {}
         self.answers: Counter[int] = Counter()
-        self.lane: dict[int, int] = {}
+        self.class_no: dict[int, int] = {}
         self.may_have_run: set[int] = set()
         self.viewer_gone: set[int] = set()
         self.over: set[int] = set()
@@ -60,7 +68,7 @@
                     assert number not in self.out, "two attempts out"
                     assert number not in self.standing and not self.answers[number], "sent after its end"
                     assert number not in self.viewer_gone and number not in self.over
-                    assert self.lane[number] == FREE or number not in self.may_have_run, "paid twice"
+                    assert self.class_no[number] == FREE or number not in self.may_have_run, "paid twice"
                     assert 0 < time_out <= self.until[number] - self.now + 1e-6
                     self.out[number] = (attempt, host)
                 case setups.GiveUp(number, attempt, host, late):
@@ -77,7 +85,7 @@
                     assert number not in self.viewer_gone
                     assert self.now <= self.until[number] + 1e-6, "an answer after its time"
                     if isinstance(order, setups.Turn):
-                        assert self.lane[number] == FREE or number not in self.may_have_run
+                        assert self.class_no[number] == FREE or number not in self.may_have_run
                 case setups.Release(number):
                     assert self.answers[number] == 1 and number not in self.viewer_gone
                 case setups.Over(number):
@@ -96,10 +104,10 @@
         self.pass_time(self.random.choice((0.0, 0.001, 0.02, 0.3)))
         what = self.random.random()
         if what < 0.3:
-            lane, patience = self.random.choice((FREE, PAID)), self.random.choice((0.01, 0.3, 2.0))
+            class_no, patience = self.random.choice((FREE, PAID)), self.random.choice((0.01, 0.3, 2.0))
             before = self.s._last + 1
-            self.lane[before], self.until[before] = lane, self.now + patience
-            number, orders = self.s.request(self.now, terms(lane, patience))
+            self.class_no[before], self.until[before] = class_no, self.now + patience
+            number, orders = self.s.request(self.now, terms(class_no, patience))
             assert number == before
             self.do(orders)
         elif what < 0.6 and self.out:
@@ -117,13 +125,13 @@
             number = self.random.choice(sorted(self.standing))
             attempt, _ = self.standing.pop(number)
             self.do(self.s.ended(self.now, number, attempt, api.Outcome.DONE))
-        elif what < 0.8 and self.lane:
-            number = self.random.choice(sorted(self.lane))
+        elif what < 0.8 and self.class_no:
+            number = self.random.choice(sorted(self.class_no))
             if number not in self.over:
                 self.viewer_gone.add(number)
             self.do(self.s.gone(self.now, number))
-        elif what < 0.9 and self.lane:  # what is late, or of no one's
-            number, attempt = self.random.choice(sorted(self.lane)), self.random.randrange(3)
+        elif what < 0.9 and self.class_no:  # what is late, or of no one's
+            number, attempt = self.random.choice(sorted(self.class_no)), self.random.randrange(3)
             if self.out.get(number, (attempt, 0))[0] != attempt or number in self.over:
                 self.do(self.s.plays(self.now, number, attempt))
                 self.do(self.s.ended(self.now, number, attempt, api.Outcome.DONE))
@@ -143,7 +151,7 @@
             del world.standing[number]
             world.do(world.s.ended(world.now, number, attempt, api.Outcome.DONE))
     assert not world.s.open and not world.s.controller.sessions and not world.s.controller.waiting
-    for number in world.lane:
+    for number in world.class_no:
         assert world.answers[number] == 1 or number in world.viewer_gone
 
 
