Interfaces for work that one gateway does for all: orders, works, routing parts

Need: duties, lanes, routes and their conflicts are built side by side and meet here. Nothing uses them yet in service.

--- a/otterglade/core/fleet/messages.py
+++ b/otterglade/core/fleet/messages.py
@@ -35,6 +35,16 @@
     CLAIMED = "claimed"
     SETTLED = "settled"
     LEAVE = "leave"
+    VOTE = "vote"
+    """A question to a voter of a duty: would it, does it promise, does it accept, does it renew."""
+    VOTED = "voted"
+    UP = "up"
+    """Told to the one above, for oneself and those below, with a question for the orders that hold."""
+    DOWN = "down"
+    """The orders that hold, and for how long still."""
+    FETCH = "fetch"
+    """A part of something that is known by its digest."""
+    PART = "part"
 
 
 class Piece(msgspec.Struct, frozen=True, array_like=True):
@@ -75,7 +85,8 @@
     """How far the sender's recovery has come."""
     pieces: tuple[Piece, ...] = ()
     body: bytes = b""
-    """Of CLAIM, CLAIMED and SETTLED; see `witness.py`."""
+    """Of CLAIM, CLAIMED and SETTLED, see `witness.py`; of VOTE, VOTED, UP, DOWN, see `duty.py`; of FETCH,
+    PART, see `parts.py`."""
 
 
 class SealError(ValueError):
