An ending gateway waits for answers that are not out and requests not looked at

Checked: stop counted set-ups without an answer alone (node/gateway.py, _owes); an answer held back by a slow viewer's full buffer, and messages of a connection that had used up its quota of a turn, were dropped with the process. Excluded: a second SIGTERM or SIGHUP between, which a new test sends all the while for 0.6 s. Change: _owes asks the door and the reactor too; a viewer who never reads is waited for 3 s. Result: the new test fails without it (half an answer counted as none owed); the door's tests pass.

--- a/otterglade/net/reactor.py
+++ b/otterglade/net/reactor.py
@@ -57,7 +57,7 @@
         self._waiting: dict[Channel, None] = {}
         self._soon: list[Callable[[], None]] = []
         self._fresh: set[int] = set()
-        self._running = True
+        self.running = True
         self.finishing = 0
         """Channels that were told to finish and still hold a descriptor."""
 
@@ -86,12 +86,17 @@
         """Call a channel's handler in the next turn."""
         self._waiting[channel] = None
 
+    @property
+    def behind(self) -> bool:
+        """Whether what was read waits for a turn to be looked at."""
+        return bool(self._waiting)
+
     def stop(self) -> None:
-        self._running = False
+        self.running = False
 
     def run(self) -> None:
         """Serve until `stop`."""
-        while self._running:
+        while self.running:
             self.turn()
 
     def turn(self, longest: float = 1.0) -> None:
--- a/otterglade/node/door.py
+++ b/otterglade/node/door.py
@@ -148,6 +148,11 @@
         viewer.open.clear()
         viewer.standing.clear()
 
+    @property
+    def unsent(self) -> bool:
+        """Whether a viewer has not been given all that he was told; an end of the process would cut it."""
+        return any(x.channel.unsent for x in self.viewers)
+
     def _say_once(self, text: str) -> None:
         if text not in self._said:
             self._said.add(text)
--- a/otterglade/node/gateway.py
+++ b/otterglade/node/gateway.py
@@ -29,6 +29,8 @@
 """One in so many of the other descriptors is for connections to hosts, the rest for viewers."""
 STAY = 0.8
 """Seconds after SIGTERM for which requests may still come."""
+READS_FOR = 3.0
+"""Seconds after that for which a viewer who reads slowly is waited for: one who never reads holds up no end."""
 
 
 class Gateway:
@@ -241,11 +243,16 @@
         # Many hosts with a control connection each may need more than their part.
         self.door.most = self._room - max(self._links, self.hosts.count())
         self.door.sweep()
-        if self._stopping is not None and now > self._stopping + STAY and not self._owes():
+        if self._stopping is not None and now > self._stopping + STAY and not self._owes(now):
             self.reactor.stop()
 
-    def _owes(self) -> bool:
-        return any(x.open for x in self._seats.values())
+    def _owes(self, now: float) -> bool:
+        """Whether an end now would lose what was taken: requests read and not looked at yet, set-ups without
+        an answer, answers that are not out whole."""
+        if self.reactor.behind or any(x.open for x in self._seats.values()):
+            return True
+        assert self._stopping is not None, "asked once it stops"
+        return self.door.unsent and now < self._stopping + STAY + READS_FOR
 
     def watch_signals(self, wakeup: socket.socket) -> None:
         """Bytes on this socket are numbers of signals."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -16,6 +16,9 @@
 
 import pytest
 
+from otterglade.net.reactor import Reactor
+from otterglade.node.config import load
+from otterglade.node.gateway import READS_FOR, STAY, Gateway
 from otterglade.wire import rtsp
 
 from .platform import (
@@ -723,6 +726,51 @@
         assert p.process is not None and p.process.wait(WAIT) == 0
 
 
+def test_requests_and_signals_after_sigterm_are_taken_as_long_as_they_may_come(tmp_path: Path) -> None:
+    with platform(tmp_path) as p:
+        open_before = p.viewer()
+        assert open_before.wait(open_before.set_up()).status == 200
+        p.signal(signal.SIGTERM)
+        until = time.time() + 0.6
+        while time.time() < until:
+            p.signal(signal.SIGHUP)
+            assert open_before.wait(open_before.set_up(), within=1.0).status == 200
+            p.signal(signal.SIGTERM)
+        assert p.process is not None and p.process.wait(WAIT) == 0
+
+
+def test_an_end_waits_for_what_was_read_and_for_answers_that_are_not_out(tmp_path: Path) -> None:
+    found, now = Platform(tmp_path, given=settings()), [time.time()]
+    found.configure()
+    reactor = Reactor(lambda: now[0])
+    gateway = Gateway(load(str(found.path)), str(found.path), reactor, lambda text: None)
+    peer = socket.create_connection(found.address)
+    while not gateway.door.viewers:
+        reactor.turn(0.1)
+    (viewer,) = gateway.door.viewers
+    gateway.signalled(signal.SIGTERM)
+    sent = 0
+    while not viewer.channel.unsent:
+        viewer.channel.send(b"x" * 65536)
+        sent += 65536
+    now[0] += STAY + 0.5
+    reactor.turn(0.0)
+    assert gateway._owes(now[0]) and reactor.running, "half an answer is none"
+    assert not gateway._owes(now[0] + READS_FOR), "one who never reads holds up no end"
+    while sent:
+        reactor.turn(0.0)
+        sent -= len(peer.recv(1 << 20))
+    reactor.again(viewer.channel)
+    assert gateway._owes(now[0]), "read, and not looked at"
+    reactor.turn(0.0)
+    assert not gateway._owes(now[0])
+    now[0] += 0.5
+    reactor.turn(0.0)
+    assert not reactor.running
+    peer.close()
+    found.close()
+
+
 @pytest.mark.parametrize(
     ("change", "named"),
     [({"listen": "nowhere"}, "listen"), ({"settings": 3}, "settings"), ({"known": None}, "known")],
