--- a/otterglade/node/gateway.py
+++ b/otterglade/node/gateway.py
@@ -30,7 +30,7 @@
 STAY = 0.8
 """Seconds after SIGTERM for which requests may still come."""
 READS_FOR = 3.0
-"""Seconds after that for which a viewer who reads slowly is waited for: one who never reads holds up no end."""
+"""Seconds after that for which a viewer who reads slowly is waited for; one who never reads is not."""
 
 
 class Gateway:
