Duties: a register for each at a few voters, leases by rates, orders that are pulled

Need: work that one gateway does for all must have one owner whose orders take effect at any instant, whatever is lost, late, doubled, stopped or split, and a state that outlives him. A row of the trust table: a voter with an old or empty disk abstains. Not in service yet.

--- a/otterglade/core/fleet/trust.py
+++ b/otterglade/core/fleet/trust.py
@@ -14,6 +14,7 @@
 class Thing(Enum):
     ATTEMPTS = "the log of own paid attempts"
     WITNESSED = "claims that this gateway witnesses"
+    VOTES = "what this gateway has promised and accepted as a voter of duties"
     BUDGET = "the window of sessions and further attempts"
     TURNS = "turns drawn at cold hosts"
     READINGS = "readings of links and uplinks"
@@ -42,6 +43,12 @@
         "durable before each word; under an old or empty disk words were given that it does not have: this"
         " gateway abstains for as long as an attempt is unsure",
     ),
+    Thing.VOTES: (
+        (_T, _T, _T, _T, _T, _D),
+        "durable before each word; under an old or empty disk promises were given that it does not have: this"
+        " gateway abstains for as long as a witness does, and then until it has read what a majority of the"
+        " other voters has",
+    ),
     Thing.BUDGET: (
         (_T, _T, _T, _T, _T, _D),
         "written before each further attempt goes out, and aged by the wall clock on the strict side; an old"
--- /dev/null
+++ b/tests/test_duty.py
@@ -0,0 +1,698 @@
+"""Duties: real gateways' parts in simulated time, each with a clock, a disk and faults of its own."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+import pytest
+
+from otterglade.core.fleet.duty import Down, Duties, Fence, Part, Told, Up, Voters, Write
+from otterglade.core.fleet.fleet import Fleet, Send
+from otterglade.core.fleet.members import Members
+from otterglade.core.fleet.messages import MOST, Kind, Message, Seal
+from otterglade.core.fleet.register import Record
+from otterglade.core.fleet.witness import Witness
+from otterglade.core.fleet.work import MOST_STATE, MOST_SUM, Order
+
+SEAL = Seal({"mesh": b"k" * 32}, "mesh")
+
+
+class Count:
+    """A work whose states tell who decided them; its sums count gateways."""
+
+    def __init__(
+        self, world: World, seat: str, name: str = "shed", lasting: bool = False, every: int = 4
+    ) -> None:
+        self.world, self.seat, self.name, self.lasting, self.every = world, seat, name, lasting, every
+        self.asked, self.lapses = 0, 0
+        self.recalled: Order | None = None
+        self.told = 0
+
+    def own(self, now: float) -> bytes:
+        return msgspec.msgpack.encode(1)
+
+    def join(self, parts: Sequence[bytes]) -> bytes:
+        return msgspec.msgpack.encode(sum(msgspec.msgpack.decode(x, type=int) for x in parts))
+
+    def decide(self, now: float, state: bytes, told: bytes) -> bytes:
+        self.asked += 1
+        self.told = msgspec.msgpack.decode(told)
+        if self.every == 0 or self.asked % self.every:
+            return state
+        return self.world.decided(self.seat, self.name)
+
+    def obey(self, now: float, order: Order) -> None:
+        self.world.obeyed(self.seat, order, now)
+
+    def lapsed(self, now: float) -> None:
+        self.lapses += 1
+        self.world.in_force.pop((self.name, self.seat), None)
+
+    def recall(self, now: float, order: Order) -> None:
+        self.recalled = order
+
+
+@dataclass
+class Place:
+    """A gateway: its process, if it runs, its disk and its clock."""
+
+    offset: float
+    rate: float
+    boot: int = 0
+    fleet: Fleet | None = None
+    works: list[Count] = field(default_factory=list)
+    disk: list[bytes] = field(default_factory=list)
+    sync: float = 0.005
+    broken: str = ""
+    stopped: list[Message] | None = None
+    life: int = 0
+
+
+class World:
+    """`run(until)`; between two of them the caller commands links, processes and disks."""
+
+    def __init__(
+        self, count: int, seed: int, voters: Voters | None = None, *, drift: float = 0.0,
+        duties: Sequence[tuple[str, bool]] = (("shed", False),), every: int = 4,
+    ) -> None:  # fmt: skip
+        self.random = random.Random(seed)
+        self.names = [f"g{n}" for n in range(count)]
+        self.voters = voters or Voters(tuple(self.names[: 5 if count >= 5 else 3]))
+        self.duties, self.every = duties, every
+        self.now, self.lost, self.doubled, self.late = 0.0, 0.0, 0.0, (0.001, 0.01)
+        self.cut: set[tuple[str, str]] = set()
+        self.bytes: dict[str, int] = defaultdict(int)
+        self.sent: list[Message] = []
+        self.in_force: dict[tuple[str, str], tuple[Order, float]] = {}
+        self.decider: dict[bytes, int] = {b"": 0}
+        self.accepted: dict[tuple[str, int, int], dict[bytes, set[str]]] = defaultdict(
+            lambda: defaultdict(set)
+        )
+        self.published: dict[tuple[str, int, int], bytes] = {}
+        self.highest: dict[tuple[str, str], tuple[int, int]] = {}
+        self.owners: list[tuple[float, str, int]] = []
+        self.sets: set[Voters] = set()
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self.places = {
+            x: Place(self.random.uniform(0, 7200), 1 + self.random.uniform(-drift, drift)) for x in self.names
+        }
+        for name in self.names:
+            self.start(name)
+
+    # Oracle
+
+    def decided(self, seat: str, duty: str) -> bytes:
+        held = self.of(seat)._lines[duty].proposer.held
+        assert held is not None
+        state = f"{seat} {held.term} {next(self._order)}".encode()
+        self.decider[state] = held.term
+        return state
+
+    def obeyed(self, seat: str, order: Order, now: float) -> None:
+        place = self.places[seat]
+        key = (order.duty, seat)
+        assert order.mark >= self.highest.get(key, (0, 0)), "a mark went back"
+        lasting = dict(self.duties)[order.duty]
+        if lasting:
+            fences = [x for x in map(_read, place.disk) if isinstance(x, Fence) and x.duty == order.duty]
+            assert any(x.mark == order.mark for x in fences), "obeyed before its mark was durable"
+        self.highest[key] = order.mark
+        chosen = self.accepted[order.duty, *order.mark][order.state]
+        assert self.enough(chosen), "published, and no majority has it"
+        assert self.published.setdefault((order.duty, *order.mark), order.state) == order.state
+        until = self.now + (order.until - now) / place.rate
+        for (duty, other), (stands, ends) in self.in_force.items():
+            if duty == order.duty and other != seat and ends > self.now and stands.term != order.term:
+                newer = max(stands, order, key=lambda x: x.term)
+                assert self.decider[newer.state] < newer.term, (
+                    f"{other} goes by term {stands.term}, {seat} by {order.term}, and that one has changed it"
+                )
+        self.in_force[key] = (order, until)
+
+    def enough(self, names: set[str]) -> bool:
+        return any(x.enough(names, x.number) for x in self.sets)
+
+    def check_states(self) -> None:
+        """What a term begins with is what was published last, or what its owner had under way after it."""
+        for (duty, term, number), states in list(self.accepted.items()):
+            if number != 1:
+                continue
+            before = [x[1:] for x in self.published if x[0] == duty and x[1:] < (term, number)]
+            if before:
+                span = [x for x in self.accepted if x[0] == duty and max(before) <= x[1:] < (term, 1)]
+                later = {y for x in span for y in self.accepted[x]}
+                chosen = {x for x, y in states.items() if self.enough(y)}
+                assert chosen <= later, "a state that was published is lost"
+
+    # Processes
+
+    def of(self, name: str) -> Duties:
+        fleet = self.places[name].fleet
+        assert fleet is not None and fleet.duties is not None
+        return fleet.duties
+
+    def local(self, name: str) -> float:
+        return self.places[name].offset + self.now * self.places[name].rate
+
+    def start(self, name: str, boot: int = 0, abstains: str = "") -> None:
+        place = self.places[name]
+        place.life += 1
+        self.sets.add(self.voters)
+        place.boot = boot or place.boot + 1
+        run, now = f"{name}-{place.life}", self.local(name)
+        for duty, lasting in self.duties:
+            if not lasting:
+                self.highest.pop((duty, name), None)
+        members = Members(name, place.boot, run, self.names, now, self.random.getrandbits(32))
+        place.works = [Count(self, name, x, lasting, self.every) for x, lasting in self.duties]
+        duties = Duties(members, self.voters, place.works, now, self.random.getrandbits(32))
+        duties.restore(place.disk, now)
+        if abstains:
+            duties.abstains = abstains
+        place.fleet, place.stopped, place.broken = (
+            Fleet(members, Witness(1.0, 1.0), self.names, 0, duties),
+            None,
+            "",
+        )
+        self._alarm(name)
+
+    def kill(self, *names: str) -> None:
+        for name in names:
+            self.places[name].fleet = None
+            for duty, _ in self.duties:
+                self.in_force.pop((duty, name), None)
+
+    def stop(self, name: str) -> None:
+        self.places[name].stopped = []
+
+    def go_on(self, name: str, ticks_first: bool = False) -> None:
+        place = self.places[name]
+        waiting, place.stopped = place.stopped or [], None
+        if ticks_first:
+            self._tick(name, place.life, None)
+        for message in waiting:
+            self._arrive(message)
+        self._alarm(name)
+
+    def part(self, *groups: Iterable[str]) -> None:
+        for one, other in itertools.permutations([list(x) for x in groups], 2):
+            self.cut |= {*itertools.product(one, other)}
+
+    # Time
+
+    def at(self, when: float, act: Callable[[], None]) -> None:
+        heapq.heappush(self._queue, (when, next(self._order), act))
+
+    def run(self, seconds: float) -> None:
+        until = self.now + seconds
+        while self._queue and self._queue[0][0] <= until:
+            self.now, _, act = heapq.heappop(self._queue)
+            act()
+        self.now = until
+
+    def until(self, what: Callable[[], object], limit: float) -> float:
+        began = self.now
+        while not what():
+            assert self.now - began < limit, "not in time"
+            self.run(0.02)
+        return self.now - began
+
+    def _alarm(self, name: str) -> None:
+        place = self.places[name]
+        if place.fleet is None:
+            return
+        due, life = place.fleet.due(), place.life
+        real = (due - place.offset) / place.rate
+        self.at(max(self.now + 0.001, real), lambda: self._tick(name, life, due))
+
+    def _tick(self, name: str, life: int, due: float | None) -> None:
+        place = self.places[name]
+        if place.fleet is None or place.life != life or place.stopped is not None:
+            return
+        if due is not None and place.fleet.due() != due:
+            return
+        self._carry(name, place.fleet.tick(self.local(name)))
+        self._alarm(name)
+
+    def _carry(self, name: str, out: Iterable[object]) -> None:
+        for one in out:
+            match one:
+                case Send(message):
+                    self._send(message)
+                case Write(record, token):
+                    self._write(name, record, token)
+        duties = self.of(name)
+        for turn in duties.drained():
+            if turn.what == "owns":
+                self.owners.append((self.now, name, turn.term))
+
+    def _write(self, name: str, record: bytes, token: int) -> None:
+        place = self.places[name]
+        life, trouble = place.life, place.broken
+
+        def done() -> None:
+            if place.life != life or place.fleet is None:
+                return  # killed: what was not synced is lost
+            if place.stopped is not None:
+                self.at(self.now + 0.1, done)
+                return
+            if not trouble:
+                place.disk.append(record)
+                found = _read(record)
+                if isinstance(found, Record) and found.held is not None and not found.doubt:
+                    self.accepted[found.duty, *found.held.mark][found.held.state].add(name)
+            if self.of(name).wants_snapshot():
+                place.disk[:] = self.of(name).snapshot()
+            self._carry(name, self.of(name).written(self.local(name), token, trouble))
+            self._alarm(name)
+
+        self.at(self.now + place.sync * self.random.uniform(0.5, 1.5), done)
+
+    def _send(self, message: Message) -> None:
+        size = len(SEAL.close(message))
+        assert size <= MOST
+        if message.kind in (Kind.VOTE, Kind.VOTED, Kind.UP, Kind.DOWN):
+            self.bytes[message.sender] += size
+        self.sent.append(message)
+        del self.sent[:-2000]
+        if (message.sender, message.to) in self.cut or self.random.random() < self.lost:
+            return
+        for _ in range(1 + (self.random.random() < self.doubled)):
+            self.at(self.now + self.random.uniform(*self.late), lambda: self._arrive(message))
+
+    def _arrive(self, message: Message) -> None:
+        place = self.places[message.to]
+        if place.stopped is not None:
+            place.stopped.append(message)
+        elif place.fleet is not None:
+            self._carry(message.to, place.fleet.received(self.local(message.to), message))
+            self._alarm(message.to)
+
+    # What is seen
+
+    def owning(self, duty: str = "shed") -> list[str]:
+        return [
+            x for x, y in self.places.items()
+            if y.fleet is not None and y.stopped is None and self.of(x)._lines[duty].proposer.owns
+        ]  # fmt: skip
+
+    def all_ordered(self) -> bool:
+        return all(self.ordered(x) for x, _ in self.duties)
+
+    def ordered(self, duty: str = "shed", by: str = "", but: Iterable[str] = ()) -> bool:
+        """Whether every gateway that runs goes by an order, of this owner."""
+        found = [
+            self.of(x).order(duty, self.local(x)) for x, y in self.places.items()
+            if y.fleet is not None and y.stopped is None and x not in but
+        ]  # fmt: skip
+        return all(x is not None and (not by or x.owner == by) for x in found)
+
+
+def _read(record: bytes) -> Record | Fence:
+    return msgspec.msgpack.decode(record, type=Record | Fence)
+
+
+def test_one_owns_within_a_lease_of_the_start_and_all_obey_and_are_counted() -> None:
+    world = World(20, 1, drift=0.02)
+    assert world.until(world.ordered, 6.0) >= 2.0, "voters that have just started have promised"
+    world.run(6.0)
+    (owner,) = world.owning()
+    assert world.places[owner].works[0].told == 20
+    assert {x.works[0].asked > 0 for n, x in world.places.items() if n != owner} == {False}
+    assert all(x.works[0].lapses == 0 for x in world.places.values())
+
+
+@pytest.mark.long
+def test_a_killed_or_stopped_owner_is_replaced_in_time_and_the_one_that_wakes_answers_nobody() -> None:
+    for count, seed in itertools.product((3, 5, 12), (1, 2)):
+        world = World(count, seed, drift=0.02)
+        world.run(8.0)
+        first = world.owning()[0]
+        world.kill(first)
+        assert world.until(world.owning, 3.0) > 1.0
+        assert world.until(world.ordered, 2.0) < 2.0
+        world.run(4.0)
+        second = world.owning()[0]
+        world.start(first)
+        world.run(1.0)
+        world.stop(second)
+        world.until(world.owning, 3.0)
+        world.run(4.0)
+        held = world.of(second)._lines["shed"].proposer.held
+        assert held is not None and held.owner == second, "believes it still"
+        world.sent.clear()
+        world.go_on(second)  # questions lie in its socket, and are read before any alarm rings
+        told = [x for x in world.sent if x.sender == second and x.kind is Kind.DOWN]
+        downs = [msgspec.msgpack.decode(x.body, type=Down) for x in told]
+        assert downs and all(x.left == 0.0 for down in downs for x in down.told)
+        assert second not in world.owning()
+        world.run(3.0)
+        world.check_states()
+
+
+def test_a_planned_stop_hands_over_in_a_messages_time_without_a_hole() -> None:
+    world = World(8, 3, duties=(("shed", False), ("routes", True)))
+    world.run(8.0)
+    first = world.owning()[0]
+    world._carry(first, world.of(first).hand_over(world.local(first)))
+    assert first not in world.owning()
+    assert world.until(world.owning, 0.2) < 0.1
+    world.run(0.1)
+    world.kill(first)
+    for _ in range(200):
+        world.run(0.02)
+        assert world.ordered(), "a hole"
+    assert world.ordered(by=world.owning()[0]) and not any(x.works[0].lapses for x in world.places.values())
+    world.check_states()
+
+
+def test_who_hears_nothing_from_the_one_above_goes_around_it_and_is_counted_once() -> None:
+    world = World(14, 14)
+    world.run(8.0)
+    (owner,) = world.owning()
+    lines = {x: world.of(x) for x in world.names}
+    low = next(x for x in world.names if x != owner and lines[x]._above(lines[x]._lines["shed"]) != owner)
+    above = lines[low]._above(lines[low]._lines["shed"])
+    world.cut.add((above, low))
+    world.run(6.0)
+    counts = []
+    for _ in range(12):
+        world.run(0.5)
+        counts.append(world.places[owner].works[0].told)
+        assert world.ordered(by=owner)
+    assert counts.count(14) >= 8 and min(counts) >= 13
+    world.cut.clear()
+    world.run(12.0)
+    assert lines[low]._above(lines[low]._lines["shed"]) == above and world.places[owner].works[0].told == 14
+
+
+def test_a_new_owner_decides_nothing_until_the_orders_of_the_one_before_have_run_out() -> None:
+    world = World(5, 4, every=1)
+    world.run(8.0)
+    world.kill(world.owning()[0])
+    world.until(world.owning, 4.0)
+    work = world.places[world.owning()[0]].works[0]
+    world.run(1.5)
+    assert work.asked == 0
+    world.run(1.0)
+    assert work.asked > 0
+
+
+def test_without_a_majority_nobody_owns_all_fall_back_once_and_operators_read_why() -> None:
+    world = World(6, 5)
+    world.run(8.0)
+    world.part(world.names[:2], world.names[2:4], world.names[4:])  # 2, 2 and 1 of five voters
+    world.run(12.0)
+    assert not world.owning() and all(x.works[0].lapses == 1 for x in world.places.values())
+    status: Any = world.of("g0").status(world.local("g0"))["duties"]
+    assert status["shed"]["owner"] is None and "2 of 5 voters say yes" in status["shed"]["why"]
+    world.cut.clear()
+    world.part(world.names[:3], world.names[3:])  # 3 and 2
+    world.until(world.owning, 6.0)
+    world.run(3.0)
+    assert {*world.owning()} <= {*world.names[:3]}
+    assert world.ordered(but=world.names[3:])
+    world.cut.clear()
+    world.until(world.ordered, 3.0)
+
+
+def test_an_owner_that_is_not_heard_or_hears_nothing_gives_up_by_itself() -> None:
+    for hears in (True, False):
+        world = World(5, 6)
+        world.run(8.0)
+        first = world.owning()[0]
+        others = [x for x in world.names if x != first]
+        world.cut = {*itertools.product([first], others)} if hears else {*itertools.product(others, [first])}
+        world.run(1.0)
+        assert world.owning() == [first], "before its time"
+        world.run(3.5)
+        assert first not in world.owning() and len(world.owning()) == 1
+        assert world.ordered(but=[first])
+
+
+@pytest.mark.long
+def test_faults_of_all_kinds_leave_one_owner_and_nothing_that_was_published_is_lost() -> None:
+    for seed in range(8):
+        draw = random.Random(seed)
+        world = World(
+            6, seed, Voters(tuple(f"g{n}" for n in range(draw.choice((3, 5))))), drift=0.024,
+            duties=(("shed", False), ("routes", True)), every=draw.choice((1, 3)),
+        )  # fmt: skip
+        world.late, world.doubled = draw.choice(((0.001, 0.01), (0.001, 0.3), (0.01, 1.2))), 0.2
+        world.lost = draw.choice((0.0, 0.33))
+        for _ in range(35):
+            world.run(draw.uniform(0.05, 1.5))
+            name = draw.choice(world.owning(draw.choice(("shed", "routes"))) or world.names)
+            place = world.places[name]
+            runs = place.fleet is not None and place.stopped is None
+            match draw.randrange(9):
+                case 0 if runs:
+                    world.kill(name)
+                case 1 if place.fleet is None:
+                    world.start(name)
+                case 2 if runs:
+                    world.stop(name)
+                case 3 if place.fleet is not None and place.stopped is not None:
+                    world.go_on(name, draw.random() < 0.5)
+                case 4:
+                    world.cut.clear()
+                    draw.shuffle(names := [*world.names])
+                    world.part(names[:2], names[2:4], names[4:]) if seed % 2 else world.part(
+                        names[:2], names[2:]
+                    )
+                case 5:
+                    world.cut.clear()
+                case 6:
+                    place.sync = draw.choice((0.001, 2.0))
+                case 7 if runs:
+                    world._carry(name, world.of(name).hand_over(world.local(name)))
+                case 8 if draw.random() < 0.2:
+                    world.kill(*world.names)
+                    for other in world.names:
+                        world.start(other)
+        world.cut.clear()
+        world.lost, world.late = 0.0, (0.001, 0.01)
+        for name, place in world.places.items():
+            place.sync = 0.005
+            if place.fleet is None or world.of(name)._stopping:
+                world.kill(name)
+                world.start(name)
+            elif place.stopped is not None:
+                world.go_on(name)
+        world.until(world.all_ordered, 8.0)
+        world.run(2.0)
+        world.check_states()
+
+
+# Orders, as one gateway takes them
+
+
+def hearing(lasting: bool = True) -> tuple[World, Duties, Count, Callable[..., list[Any]]]:
+    """A gateway that is no voter, and how it is told something by another in answer to a question."""
+    world = World(4, 7, Voters(("g0", "g1", "g2")), duties=(("routes", lasting),))
+    world.run(1.0)
+    duties = world.of("g3")
+    work = world.places["g3"].works[0]
+    world.obeyed = lambda *args: None  # type: ignore[method-assign]
+
+    def tell(
+        term: int, number: int, owner: str, state: bytes | None, left: float = 1.0, **more: Any
+    ) -> list[Any]:
+        world.sent.clear()
+        now = world.local("g3")
+        duties._lines["routes"].ask_at = now
+        world._carry("g3", duties.tick(now))
+        up = next(x for x in world.sent if x.sender == "g3" and x.kind is Kind.UP)
+        down = Down((Told("routes", term, number, owner, left, state),))
+        question = more.get("question", up.question)
+        sender = more.get("sender", up.to)
+        later = now + more.get("after", 0.0)
+        message = Message(Kind.DOWN, sender, 1, 0, "r", 1, "g3", "", question=question,
+                          body=msgspec.msgpack.encode(down))  # fmt: skip
+        return duties.received(later, message)
+
+    return world, duties, work, tell
+
+
+def test_an_order_is_durable_before_it_is_obeyed_and_an_older_one_or_anothers_is_not() -> None:
+    world, duties, work, tell = hearing()
+    (write,) = tell(5, 2, "g1", b"x")
+    now = world.local("g3")
+    assert isinstance(write, Write) and duties.order("routes", now) is None
+    duties.written(now, write.token)
+    assert duties.order("routes", now) == Order("routes", 5, 2, "g1", b"x", now + 1.0)
+    refused = duties._lines["routes"].refused
+    for told in ((4, 9, "g1", b"y"), (5, 1, "g1", b"y"), (5, 3, "g2", b"y"), (5, 2, "g1", b"y")):
+        assert not tell(*told)
+    assert refused == {
+        "older than one obeyed": 2, "another owner's in one term": 1, "another state under one mark": 1,
+    }  # fmt: skip
+    (full,) = tell(6, 1, "g2", b"z")
+    assert not duties.written(now, full.token, "full") and refused["its mark can't be recorded"] == 1
+    assert duties.order("routes", now).state == b"x"  # type: ignore[union-attr]
+    again = Duties(Members("g3", 2, "r", world.names, now, 1), world.voters, [work], now, 1)
+    again.restore([write.record], now)
+    assert work.recalled == Order("routes", 5, 2, "g1", b"x", now)
+    assert again._lines["routes"].fence == duties._lines["routes"].fence
+
+
+def test_an_order_counts_from_the_question_and_one_that_was_not_asked_for_not_at_all() -> None:
+    world, duties, _, tell = hearing(lasting=False)
+    dropped = duties.members.dropped
+    tell(5, 1, "g1", b"x", question=99)
+    tell(5, 1, "g1", b"x", sender="g3")
+    tell(5, 1, "g1", b"x", left=1.5, after=1.6)
+    assert dropped["answers nothing"] == 3
+    for left in (float("nan"), float("inf"), 1.6, -1.0):
+        tell(5, 1, "g1", b"x", left=left)
+    tell(5, 1, "g1", b"x", left=0.5, after=0.6)
+    assert duties._lines["routes"].refused == {"came too late": 1} and duties._lines["routes"].order is None
+    now = world.local("g3")
+    tell(5, 1, "g1", b"x", left=1.0, after=0.6)
+    assert duties.order("routes", now + 0.99) is not None and duties.order("routes", now + 1.0) is None
+
+
+def test_what_is_unreadable_is_counted_and_states_of_two_duties_fit_their_datagrams() -> None:
+    world = World(9, 8, duties=(("shed", True), ("routes", True)), every=0)
+    for place in world.places.values():
+        for work in place.works:
+            work.decide = lambda now, state, told: state or b"s" * MOST_STATE  # type: ignore[method-assign]
+            work.join = lambda parts: b"u" * MOST_SUM  # type: ignore[method-assign]
+    world.decider = defaultdict(int)
+    world.run(10.0)  # each datagram is sealed, and would not be sent if it were over the bound
+    assert world.ordered("shed") and world.ordered("routes")
+    assert len(world.of("g8").order("routes", world.local("g8")).state) == MOST_STATE  # type: ignore[union-attr]
+    duties = world.of("g0")
+    for kind, body in itertools.product(
+        (Kind.VOTE, Kind.VOTED, Kind.UP, Kind.DOWN), (b"", b"\xc1", b"\x93\x01")
+    ):
+        duties.received(world.local("g0"), Message(kind, "g1", 1, 0, "r", 1, "g0", "", body=body))
+    assert duties.members.dropped["unreadable body"] == 12
+
+
+def test_what_members_do_not_take_reaches_no_duty() -> None:
+    world = World(3, 13)
+    world.run(8.0)
+    question = next(x for x in reversed(world.sent) if x.kind is Kind.VOTE)
+    again = msgspec.structs.replace(question, number=question.number + 1000)
+    fleet = world.places[question.to].fleet
+    assert fleet is not None
+    foreign = msgspec.structs.replace(again, to_run="r", number=again.number + 1)
+    for message, answers in ((again, 1), (again, 0), (foreign, 0)):
+        out = fleet.received(world.local(question.to), message)
+        assert sum(isinstance(x, Send) and x.message.kind is Kind.VOTED for x in out) == answers
+    alone = Fleet(fleet.members, fleet.witness, world.names, 0)
+    unasked = msgspec.structs.replace(again, number=again.number + 2)
+    assert not alone.received(world.local(question.to), unasked)
+
+
+# Voters
+
+
+def test_a_voter_with_an_old_disk_abstains_until_it_has_read_what_the_others_have() -> None:
+    world = World(4, 9, Voters(("g0", "g1", "g2")), every=1)
+    world.run(6.0)
+    old = [*world.places["g2"].disk]
+    world.run(10.0)
+    world.kill("g2")
+    world.places["g2"].disk = old
+    world.start("g2", abstains="an old disk")
+    world.run(4.0)
+    world.kill("g1")  # two of three are left, and one of them may have forgotten
+    world.run(8.0)
+    assert not world.owning() and world.of("g2").abstains == "an old disk"
+    world.of("g2").abstains = ""
+    world.run(2.0)
+    assert not world.owning() and "reads" in world.of("g2").abstains
+    world.start("g1")
+    world.until(lambda: world.of("g2").abstains == "", 4.0)
+    world.until(world.ordered, 6.0)
+    world.check_states()
+
+
+def test_voters_are_replaced_one_at_a_time_while_old_scripts_still_run() -> None:
+    world = World(6, 10, Voters(("g0", "g1", "g2")), every=1)
+    world.run(8.0)
+    before = max(world.published)
+    for number, (old, new) in enumerate(
+        ((("g0", "g1", "g2"), ("g0", "g1", "g3")), (("g0", "g1", "g3"), ("g0", "g4", "g3"))), 2
+    ):
+        world.voters = Voters(new, number, old)
+        for name in world.names:  # one after another, as a rollout goes
+            world.kill(name)
+            world.start(name)
+            world.run(2.5)
+        world.run(6.0)
+    world.kill("g1", "g2")  # both are out of it
+    world.run(6.0)
+    assert world.ordered() and max(world.published) > before
+    status: Any = world.of("g0").status(world.local("g0"))["duties"]
+    assert status["shed"]["settled"] == 3
+    world.check_states()
+
+
+def test_a_person_goes_on_without_a_majority_that_is_gone_for_good() -> None:
+    world = World(6, 11, every=1)
+    world.run(8.0)
+    world.kill("g0", "g1", "g2")
+    world.run(6.0)
+    assert not world.owning()
+    world.voters = Voters(("g3", "g4", "g5"), 2, forced="the hall is gone")
+    world.kill("g3", "g4", "g5")
+    for name in ("g3", "g4", "g5"):
+        world.start(name)
+    world.until(world.ordered, 8.0)
+    held = world.of(world.owning()[0])._lines["shed"].proposer.held
+    assert held is not None and held.forced == "the hall is gone" and held.term > 1 << 20
+    world.run(3.0)
+    world.check_states()
+
+
+def test_sums_are_taken_from_the_own_tree_by_as_many_as_there_is_room_for_and_age() -> None:
+    world = World(30, 15)
+    world.run(8.0)
+    (owner,) = world.owning()
+    duties, now = world.of(owner), world.local(owner)
+    line = duties._lines["shed"]
+
+    def up(sender: str, tree: int, told: bytes) -> None:
+        body = msgspec.msgpack.encode(Up((Part("shed", 1, 1, tree, told),)))
+        duties.received(now, Message(Kind.UP, sender, 1, 0, "r", 1, owner, "", body=body))
+
+    before = {*line.sums}
+    others = [x for x in world.names if x != owner and x not in before]
+    for tree, told in ((line.root_term + 1, b"\x01"), (line.root_term, b""), (line.root_term, b"u" * 401)):
+        up(others[0], tree, told)
+    assert {*line.sums} == before and len(before) == 8
+    for name in others:
+        up(name, line.root_term, b"\x01")
+    assert len(line.sums) == 16 and line.refused == {"sums of too many": len(others) - 8}
+    world.run(1.9)
+    assert {*line.sums} == before
+    low = world.of(next(iter(before)))
+    asked = low._lines["shed"]
+    asked.tries, asked.ask_at, asked.silent = 2, low._began, 1  # the one above did not answer
+    world.sent.clear()
+    world._carry(low.members.name, low._upwards(world.local(low.members.name)))
+    (question,) = (msgspec.msgpack.decode(x.body, type=Up) for x in world.sent if x.kind is Kind.UP)
+    assert [x.sum for x in question.parts] == [b""]
+
+
+@pytest.mark.long
+def test_what_a_gateway_sends_does_not_grow_with_the_fleet() -> None:
+    sent = {}
+    for count in (12, 60):
+        world = World(count, 12, duties=(("shed", False), ("routes", True)), every=0)
+        world.run(10.0)
+        world.bytes.clear()
+        world.run(6.0)
+        sent[count] = sum(world.bytes.values()) / count / 6.0
+    assert sent[60] < 1.2 * sent[12] and sent[60] < 1200.0
--- /dev/null
+++ b/tests/test_register.py
@@ -0,0 +1,374 @@
+"""The register of a duty: tables of voter and owner, and each guard on its own."""
+
+from __future__ import annotations
+
+import itertools
+import random
+from typing import Any
+
+import msgspec
+import pytest
+
+from otterglade.core.fleet import register as module
+from otterglade.core.fleet.register import (
+    NEXT,
+    STAGES,
+    STAGES_UNREACHABLE,
+    UNREACHABLE,
+    Acceptor,
+    Ask,
+    Asked,
+    Ballot,
+    Event,
+    Held,
+    Pace,
+    Proposer,
+    Record,
+    Says,
+    Stage,
+    Step,
+    Vote,
+    Voted,
+    Voter,
+    Voters,
+)
+
+PACE = Pace()
+L = PACE.lease
+A, B, C = (1, "a", "a1"), (2, "b", "b1"), (3, "c", "c1")
+
+
+def held(term: int = 1, number: int = 1, owner: str = "a", state: bytes = b"s", settled: int = 1) -> Held:
+    return Held(term, owner, owner + "1", number, state, settled)
+
+
+def vote(ask: Ask, ballot: Ballot, value: Held | None = None, number: int = 1) -> Vote:
+    return Vote("shed", ask, ballot, number, value)
+
+
+def asked(voter: Acceptor, now: float, ask: Ask, ballot: Ballot, value: Held | None = None, number: int = 1,
+          trouble: str = "") -> Voted | None:  # fmt: skip
+    """A question by the maker of the ballot, and its record written at once."""
+    word, record = voter.ask(now, ballot[1], ballot[2], vote(ask, ballot, value, number))
+    return word if record is None else voter.written(now, trouble)
+
+
+def says(*args: Any, **more: Any) -> Says:
+    word = asked(*args, **more)
+    assert word is not None
+    return word.says
+
+
+def free() -> Acceptor:
+    voter = Acceptor("shed", 0.0, PACE)
+    voter.tick(L)
+    return voter
+
+
+class Reached(dict[Any, Any]):
+    """A table, remembering which of its rows were read."""
+
+    def __init__(self, table: Any) -> None:
+        super().__init__(table)
+        self.read: set[Any] = set()
+
+    def __getitem__(self, pair: Any) -> Any:
+        self.read.add(pair)
+        return super().__getitem__(pair)
+
+
+def test_every_pair_of_a_voter_is_reached_or_has_its_reason(monkeypatch: pytest.MonkeyPatch) -> None:
+    assert {*NEXT} | {*UNREACHABLE} == {*itertools.product(Voter, Event)} and not {*NEXT} & {*UNREACHABLE}
+    table = Reached(NEXT)
+    monkeypatch.setattr(module, "NEXT", table)
+    for seed in range(200):
+        draw, now = random.Random(seed), 0.0
+        voter = Acceptor("shed", now, PACE)
+        for _ in range(60):
+            now += draw.choice((0.0, 0.0, 0.1, 2.0))
+            told, best = voter.kept.promised, voter.kept.accepted
+            match draw.randrange(9):
+                case 0:
+                    voter.written(now, draw.choice(("", "full")))
+                case 1 if draw.random() < 0.3:
+                    voter.doubt()
+                case 2 if voter.state is Voter.ABSTAINS:
+                    voter.rebuilt([], 0)
+                case _:
+                    ballot = draw.choice((A, B, told, best, best, (told[0] + draw.choice((1, 2)), "a", "a1")))
+                    value = draw.choice((held(), held(number=2), held(2, owner="b"), voter.kept.held))
+                    voter.ask(now, ballot[1], ballot[2], vote(draw.choice(list(Ask)[:5]), ballot, value))
+            assert voter.kept.promised >= told, "a promise went back"
+    assert table.read == {*NEXT}
+
+
+def answered(
+    proposer: Proposer, now: float, out: list[Asked], says: Says, *names: str, **word: Any
+) -> list[Asked]:
+    """These voters answer what was asked."""
+    more: list[Asked] = []
+    for to, question, question_vote in out:
+        if to in names:
+            more += proposer.told(now, to, question, Voted("shed", question_vote.ask, says, **word))
+    return more
+
+
+def owner(now: float = 0.0, voters: Voters | None = None, **word: Any) -> Proposer:
+    proposer = Proposer("shed", "a", "a1", voters or Voters(("v", "w", "x")), PACE)
+    names = proposer.voters.all
+    out = proposer.attempt(now)
+    for _ in range(3):
+        out = answered(proposer, now, out, Says.YES, *names, **word)
+    assert proposer.stage is Stage.OWNS
+    return proposer
+
+
+def test_every_pair_of_a_candidate_is_reached_or_has_its_reason(monkeypatch: pytest.MonkeyPatch) -> None:
+    assert {*STAGES} | {*STAGES_UNREACHABLE} == {*itertools.product(Stage, Step)}
+    assert not {*STAGES} & {*STAGES_UNREACHABLE}
+    table = Reached(STAGES)
+    monkeypatch.setattr(module, "STAGES", table)
+    for seed in range(800):
+        draw, now, out = random.Random(seed), 0.0, []
+        one = Proposer("shed", "a", "a1", Voters(("v", "w", "x")), PACE)
+        for _ in range(60):
+            now += draw.choice((0.0, 0.05, 0.5, 0.5, 1.5))
+            out += one.tick(now)
+            if one.stage is Stage.IDLE and draw.random() < 0.5:
+                out += one.attempt(now)
+            elif one.stage is Stage.OWNS and draw.random() < 0.3:
+                out += one.change(now, b"%d" % seed)
+            elif draw.random() < 0.08:
+                out += one.hand(now, "b", "b1")
+            elif draw.random() < (0.4 if one.stage is Stage.RAISES else 0.08):
+                out += one.named(now, vote(Ask.YOURS, (9, "b", "b1"), held(4, owner="a")))
+            word = draw.choices((Says.YES, Says.NO, Says.WRITES), (8, 2, 1))[0]
+            promised = (99, "z", "z1") if word is Says.NO and draw.random() < 0.7 else (0, "", "")
+            stands = {"accepted": one.ballot, "held": one.held} if one.owns and draw.random() < 0.9 else {}
+            names = draw.sample("vwx", draw.choice((0, 1, 2)))
+            out = answered(one, now, out, word, *names, promised=promised, **stands)
+            assert one.owns <= (now < one.lease), "owns beyond its lease"
+    assert table.read == {*STAGES}
+
+
+# The voter's guards
+
+
+def test_nothing_is_said_before_it_is_durable_and_a_failed_disk_says_so() -> None:
+    voter = free()
+    word, record = voter.ask(L, "a", "a1", vote(Ask.PREPARE, A))
+    assert word is None and record is not None and record.promised == A
+    again, _ = voter.ask(L, "a", "a1", vote(Ask.PREPARE, A))
+    assert again is not None and again.says is Says.WRITES and voter.kept.promised != A
+    assert voter.ask(L, "a", "a1", vote(Ask.READ, A))[0].says is Says.WRITES  # type: ignore[union-attr]
+    done = voter.written(L)
+    assert done is not None and done.says is Says.YES
+    assert says(voter, L, Ask.ACCEPT, A, held(), trouble="full") is Says.ABSTAINS
+    assert voter.kept.held is None and says(voter, L, Ask.PREPARE, B) is Says.ABSTAINS
+
+
+def test_a_ballot_is_promised_to_one_process_and_a_lower_one_gets_nothing() -> None:
+    voter = free()
+    assert says(voter, L, Ask.PREPARE, (2, "b", "b1")) is Says.YES
+    assert says(voter, L, Ask.PREPARE, (2, "b", "b1")) is Says.YES  # its answer was lost
+    assert says(voter, L, Ask.PREPARE, (2, "b", "b0")) is Says.NO  # another process of that name
+    word, _ = voter.ask(L, "c", "c1", vote(Ask.PREPARE, (2, "b", "b1")))
+    assert word is not None and word.says is Says.NO and word.promised == (2, "b", "b1")
+    assert says(voter, L, Ask.ACCEPT, A, held()) is Says.NO
+    again = Acceptor("shed", 0.0, PACE)
+    again.restore(voter.kept, 0.0)
+    assert says(again, L, Ask.ACCEPT, A, held()) is Says.NO
+    assert says(again, L, Ask.PREPARE, C) is Says.YES
+
+
+def test_within_a_ballot_marks_rise_term_first() -> None:
+    voter = free()
+    assert says(voter, L, Ask.ACCEPT, A, held(2, 1)) is Says.YES
+    for value in (held(1, 9), held(2, 0)):
+        assert says(voter, L, Ask.ACCEPT, A, value) is Says.NO
+    assert says(voter, L, Ask.ACCEPT, A, held(2, 2)) is Says.YES
+    assert voter.kept.held == held(2, 2)
+
+
+def test_who_accepted_or_renewed_promises_to_nobody_for_a_lease_nor_does_one_that_started() -> None:
+    voter = Acceptor("shed", 0.0, PACE)
+    for ask in (Ask.WOULD, Ask.PREPARE):
+        assert says(voter, 0.99 * L, ask, B) is Says.NO
+    assert says(voter, L, Ask.ACCEPT, A, held()) is Says.YES
+    assert says(voter, 1.9 * L, Ask.PREPARE, B) is Says.NO
+    assert says(voter, 1.9 * L, Ask.RENEW, A) is Says.YES
+    word = asked(voter, 2.8 * L, Ask.WOULD, B)
+    assert word is not None and word.says is Says.NO and word.left == pytest.approx(0.1 * L)
+    assert says(voter, 2.9 * L, Ask.PREPARE, B) is Says.YES
+    assert says(voter, 2.9 * L, Ask.RENEW, A) is Says.NO  # its owner is to know that another was promised
+
+
+def test_an_owner_may_be_promised_a_higher_ballot_and_its_lease_runs_on() -> None:
+    voter = free()
+    assert says(voter, L, Ask.ACCEPT, A, held()) is Says.YES
+    assert says(voter, 1.5 * L, Ask.PREPARE, (5, "a", "a0")) is Says.NO  # another run of it
+    assert says(voter, 1.5 * L, Ask.PREPARE, (5, "a", "a1")) is Says.YES
+    assert says(voter, 1.9 * L, Ask.PREPARE, (6, "b", "b1")) is Says.NO
+    assert says(voter, 1.9 * L, Ask.PREPARE, (5, "a", "a1")) is Says.YES  # asked again
+    assert says(voter, 1.9 * L, Ask.PREPARE, (6, "b", "b1")) is Says.NO
+    assert says(voter, 1.9 * L, Ask.RENEW, A) is Says.NO
+    assert says(voter, 2.0 * L, Ask.PREPARE, (6, "b", "b1")) is Says.YES
+
+
+def test_only_the_process_that_was_accepted_renews() -> None:
+    voter = free()
+    assert says(voter, L, Ask.ACCEPT, A, held(owner="b")) is Says.YES
+    assert says(voter, L, Ask.RENEW, A) is Says.NO
+    word, _ = voter.ask(L, "b", "b1", vote(Ask.RENEW, A))
+    assert word is not None and word.says is Says.YES
+    assert voter.ask(L, "b", "b2", vote(Ask.RENEW, A))[0].says is Says.NO  # type: ignore[union-attr]
+
+
+def test_a_lower_number_of_voters_than_was_accepted_under_gets_nothing() -> None:
+    voter = free()
+    assert says(voter, L, Ask.ACCEPT, A, held(), number=2) is Says.YES
+    assert says(voter, 3 * L, Ask.PREPARE, B, number=1) is Says.NO
+    assert says(voter, 3 * L, Ask.PREPARE, B, number=2) is Says.YES
+
+
+def test_who_may_have_forgotten_votes_again_once_it_has_what_the_others_have() -> None:
+    voter = free()
+    saved = voter.doubt()
+    assert saved.doubt and says(voter, L, Ask.ACCEPT, A, held()) is Says.ABSTAINS
+    again = Acceptor("shed", 0.0, PACE)
+    again.restore(saved, 0.0)
+    assert says(again, L, Ask.PREPARE, B) is Says.ABSTAINS, "a restart ended the doubt"
+    words = [
+        Voted("shed", Ask.READ, Says.YES, C, A, held(3), 1, (3, 1), under=4),
+        Voted("shed", Ask.READ, Says.YES, B, B, held(2, 5), 1, (2, 5)),
+    ]
+    record = again.rebuilt(words, 0)
+    assert record == Record("shed", C, B, held(2, 5), 4)
+    again.written(5.0)
+    assert says(again, 5.0, Ask.PREPARE, (9, "a", "a1"), number=4) is Says.NO  # as any that starts
+    assert says(again, 5.0 + L, Ask.PREPARE, (9, "a", "a1"), number=4) is Says.YES
+
+
+# The owner's guards
+
+
+def test_a_majority_is_one_of_the_configured_voters() -> None:
+    one = Proposer("shed", "a", "a1", Voters(tuple("vwxyz")), PACE)
+    out = one.attempt(0.0)
+    assert not answered(one, 0.0, out, Says.YES, "v", "w") and one.stage is Stage.ASKS
+    answered(one, 0.0, out[:1], Says.YES, "v")  # again: counts once
+    answered(one, 0.0, [("stranger", out[0][1], out[0][2])], Says.YES, "stranger")
+    assert one.stage is Stage.ASKS
+    assert answered(one, 0.0, out, Says.YES, "x") and one.stage is Stage.PREPARES
+
+
+def test_it_goes_on_from_what_was_accepted_under_the_highest_ballot_by_however_few() -> None:
+    one = Proposer("shed", "a", "a1", Voters(("v", "w", "x")), PACE)
+    out = answered(one, 0.0, one.attempt(0.0), Says.YES, "v", "w")
+    word = {"accepted": A, "mark": (7, 1), "held": held(7, 1, state=b"old"), "settled": 1}
+    answered(one, 0.0, out, Says.YES, "v", **word)
+    word = {"accepted": B, "mark": (3, 4), "held": held(3, 4, "b", b"new"), "settled": 1, "seen": 8}
+    out = answered(one, 0.0, out, Says.YES, "w", **word)
+    assert one.stage is Stage.TAKES and one.wanted is not None
+    assert (one.wanted.state, one.wanted.owner, one.wanted.number) == (b"new", "a", 1)
+    assert one.wanted.term == 9, "above all that anybody has obeyed"
+
+
+def test_the_lease_counts_from_the_sending_shortened_and_ends_by_itself() -> None:
+    one = Proposer("shed", "a", "a1", Voters(("v", "w", "x")), PACE)
+    out = answered(one, 0.0, answered(one, 0.0, one.attempt(0.0), Says.YES, "v", "w"), Says.YES, "v", "w")
+    answered(one, 0.3, out, Says.YES, "v", "w")
+    assert one.owns and one.lease == pytest.approx(0.95 * L) and one.owned_at == 0.3
+    out = one.tick(0.4)
+    answered(one, 1.2, out, Says.YES, "v", "w")
+    assert one.lease == pytest.approx(0.4 + 0.95 * L)
+    late = one.tick(1.3)
+    one.lapse(0.4 + 0.95 * L)
+    assert not one.owns and "renewed" in one.why
+    answered(one, 2.4, late, Says.YES, "v", "w", "x")
+    assert not one.owns, "woke, and took answers to what it asked before for a lease"
+
+
+def test_one_that_would_not_be_promised_raises_no_ballot_and_waits_as_long_as_is_said() -> None:
+    one = Proposer("shed", "a", "a1", Voters(("v", "w", "x")), PACE)
+    out = one.attempt(0.0)
+    answered(one, 0.0, out, Says.NO, "v", left=0.3)
+    answered(one, 0.0, out, Says.NO, "w", left=1.2)
+    assert one.stage is Stage.IDLE and one.ballot == (0, "", "") and one.retry == 1.2
+    assert "v: " in one.why and "0 of 3 voters say yes" in one.why
+
+
+def test_a_change_of_voters_needs_both_majorities_until_both_have_accepted_under_its_number() -> None:
+    voters = Voters(("v", "w", "n"), 2, ("v", "w", "x"))
+    one = Proposer("shed", "a", "a1", voters, PACE)
+    out = one.attempt(0.0)
+    assert {x for x, _, _ in out} == {"v", "w", "n", "x"}
+    assert not answered(one, 0.0, out, Says.YES, "v", "n") and answered(one, 0.0, out, Says.YES, "x")
+    one = owner(0.0, voters, accepted=A, mark=(4, 4), held=held(4, 4), settled=1)
+    assert one.unsettled and one.held is not None and one.held.voters_number == 1
+    renewal = one.tick(0.1)
+    before = one.lease
+    answered(one, 0.1, renewal, Says.YES, "v", "n")
+    assert one.lease == before, "renewed by a majority of the new set alone"
+    out = one.change(0.1, one.held.state)
+    answered(one, 0.1, out, Says.YES, "w", "n")
+    assert one.stage is Stage.CHANGES
+    answered(one, 0.1, out, Says.YES, "v")
+    assert not one.unsettled and voters.enough(["w", "n"], one.held.voters_number)
+
+
+def test_a_skipped_number_owns_nothing_and_a_persons_word_is_recorded_with_a_leap_of_terms() -> None:
+    stands = {"accepted": A, "mark": (4, 4), "held": held(4, 4), "settled": 1}
+    for voters in (Voters(("v", "w"), 3, ("v", "x")), Voters(("v", "w"), 2), Voters(("v", "w"), 5)):
+        one = Proposer("shed", "a", "a1", voters, PACE)
+        out = answered(one, 0.0, one.attempt(0.0), Says.YES, *voters.all, settled=1)
+        assert not answered(one, 0.0, out, Says.YES, *voters.all, **stands)
+        assert "can't follow 1" in one.why and one.stage is Stage.IDLE
+    one = owner(0.0, Voters(("v", "w"), 2, ("v", "x", "y"), "fire in hall 2"), **stands)
+    assert one.voters.all == ("v", "w") and one.held is not None
+    assert one.held.forced == "fire in hall 2" and one.held.voters_number == 2 and one.held.state == b"s"
+    assert one.held.term == 5 + module.FORCED_TERMS
+    with pytest.raises(ValueError, match="voters: found"):
+        Voters(())
+
+
+def test_an_owner_wins_back_a_voter_that_promised_a_ballot_which_came_to_nothing() -> None:
+    one, before = owner(), None
+    for now in (0.1, 1.0, 1.9):
+        out = one.tick(now)
+        answered(one, now, out, Says.NO, "x", promised=(8, "z", "z1"))
+        answered(one, now, out, Says.YES, "v", "w")
+    before = one.held
+    out = one.tick(2.1)
+    assert one.owns and {x[2].ask for x in out} == {Ask.PREPARE} and one.ballot == (9, "a", "a1")
+    stands = {"accepted": A, "mark": (1, 1), "held": before}
+    out = answered(one, 2.1, out, Says.YES, "v", "x", **stands)
+    assert one.wanted is not None and before is not None
+    assert (
+        one.wanted.mark == (1, 2)
+        and one.wanted.state == before.state
+        and {x[2].ballot for x in out} == {one.ballot}
+    )
+    answered(one, 2.1, out, Says.YES, "v", "x")
+    assert one.stage is Stage.OWNS and one.held is not None and one.held.mark == (1, 2)
+    one._raise = True
+    out = one.tick(2.2)
+    answered(one, 2.2, out, Says.YES, "v", "x", accepted=C, mark=(7, 1), held=held(7, 1, "c"))
+    assert not one.owns, "gave orders beside another's value"
+
+
+def test_the_successor_is_one_once_voters_say_so_and_the_old_owner_none_from_the_asking_on() -> None:
+    one = owner()
+    one.change(0.1, b"t")
+    out = one.hand(0.2, "b", "b1")
+    assert not one.owns and out[-1][0] == "b"
+    yours = out[-1][2]
+    assert yours.held == Held(2, "b", "b1", 1, b"t", 1), "what was under way is finished"
+    other = Proposer("shed", "b", "b1", Voters(("v", "w", "x")), PACE)
+    wrong = msgspec.structs.replace(yours, held=msgspec.structs.replace(yours.held, run="b0"))
+    assert not other.named(0.2, wrong) and other.stage is Stage.IDLE
+    asks = other.named(0.2, yours)
+    behind = answered(other, 0.2, asks, Says.NO, "v", promised=one.ballot, accepted=one.ballot, mark=(1, 1))
+    assert [x[2].ask for x in behind] == [Ask.ACCEPT] and other.stage is Stage.NAMED
+    answered(other, 0.2, asks, Says.YES, "v", "w", accepted=one.ballot, mark=(2, 1))
+    assert other.owns and other.lease == pytest.approx(0.2 + 0.95 * L)
