Fleet mended: claims age, words fit their datagram, Members says what was taken

Observed: four settled claims at the head of a witness's dict kept all behind them from ageing (witness._age); a word about a gateway not configured had the claim beside it passed over (Fleet.received compared counters); names of 100 characters made a plain PING too long to go out (Members.message); spawn's stack size, set and put back by two threads at once, could stay for the process. Change: one order for each kind of claim and the very name asked for looked at first; Heard(taken, answers); words cut to the room that a body leaves; a lock around the stack size; duties and parts mounted in Fleet.

--- a/otterglade/core/fleet/fleet.py
+++ b/otterglade/core/fleet/fleet.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import TYPE_CHECKING, TypeAlias
 
 import msgspec
 
@@ -17,6 +18,10 @@
 from .messages import Kind, Message
 from .witness import SETTLES, Poll, Settled, Witness, Word, witnesses
 
+if TYPE_CHECKING:  # duties send too, and so import from here
+    from .duty import Duties, Write
+    from .routes import Check, Drop, Routes, Store
+
 AGAIN = 0.08
 """Seconds after which a witness that has not answered is asked again: ten times what an answer takes with its
 disk, a fifth of what it may take."""
@@ -46,14 +51,19 @@
     setup: str
 
 
-Out = Send | Keep | Polled
+Out: TypeAlias = "Send | Keep | Polled | Write | Store | Drop | Check"
 
 
 class Fleet:
     """See the module's page. Every method takes the time first and returns what is to be done, in order."""
 
-    def __init__(self, members: Members, witness: Witness, gateways: Iterable[str], count: int) -> None:
-        self.members, self.witness = members, witness
+    def __init__(
+        self, members: Members, witness: Witness, gateways: Iterable[str], count: int,
+        duties: Duties | None = None, routes: Routes | None = None,
+    ) -> None:  # fmt: skip
+        """`duties`: None where no voters are configured; `routes`: one of their works, where there are
+        rules."""
+        self.members, self.witness, self.duties, self.routes = members, witness, duties, routes
         self._gateways, self._count = tuple(sorted(gateways)), count
         self._polls: dict[str, Poll] = {}
         self.polls = 0
@@ -62,7 +72,9 @@
 
     def due(self) -> float:
         """When `tick` has something to do next."""
-        return min((self.members.due(), *(min(x.again, x.until) for x in self._polls.values())))
+        times = [self.members.due(), *(min(x.again, x.until) for x in self._polls.values())]
+        times += [x.due() for x in (self.duties, self.routes) if x is not None]
+        return min(times)
 
     def tick(self, now: float) -> list[Out]:
         out: list[Out] = [Send(x) for x in self.members.tick(now)]
@@ -73,16 +85,22 @@
             elif now >= poll.again:
                 poll.again = now + AGAIN
                 out += self._asked(now, poll)
+        if self.duties is not None:
+            out += self.duties.tick(now)
+        if self.routes is not None:
+            out += self.routes.tick(now)
         return out
 
     def received(self, now: float, message: Message) -> list[Out]:
         """A message whose seal was good."""
-        taken = sum(self.members.dropped.values())
-        out: list[Out] = [Send(x) for x in self.members.received(now, message)]
-        if sum(self.members.dropped.values()) > taken and message.kind in (
-            Kind.CLAIM, Kind.CLAIMED, Kind.SETTLED
-        ):  # fmt: skip
+        heard = self.members.received(now, message)
+        out: list[Out] = [Send(x) for x in heard.answers]
+        if not heard.taken:
             return out
+        if message.kind in (Kind.VOTE, Kind.VOTED, Kind.UP, Kind.DOWN):
+            return out if self.duties is None else [*out, *self.duties.received(now, message)]
+        if message.kind in (Kind.FETCH, Kind.PART):
+            return out if self.routes is None else [*out, *self.routes.received(now, message)]
         try:
             match message.kind:
                 case Kind.CLAIM:
--- a/otterglade/core/fleet/members.py
+++ b/otterglade/core/fleet/members.py
@@ -19,7 +19,9 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-from .messages import Kind, Message, Piece, Seen
+import msgspec
+
+from .messages import ROOM, Kind, Message, Piece, Seen
 from .standing import NEWER, NEXT, Number, Said, Standing, said
 
 MOST_MEMBERS = 4096
@@ -93,6 +95,16 @@
     why: str
 
 
+@dataclass(frozen=True, slots=True)
+class Heard:
+    """What became of a message."""
+
+    taken: bool
+    """Its sender, run and number were good, so what it carries counts; whatever its words about others are
+    worth."""
+    answers: list[Message]
+
+
 @dataclass(slots=True)
 class _Question:
     about: str
@@ -173,13 +185,16 @@
     def message(
         self, kind: Kind, to: str, now: float, question: int = 0, about: str = "", body: bytes = b""
     ) -> Message:
-        """A message of this run, numbered, with words about others on it."""
+        """A message of this run, numbered, with words about others on it as far as there is room: with a long
+        body or long names it would not go out at all."""
         self._numbers += 1
         peer = self.peers[to]
-        return Message(
+        bare = Message(
             kind, self.name, self.boot, self.turn, self.run, self._numbers, to, peer.run, now - self.began,
-            question, about, peer.known, self.phase, self._pieces(to), body,
+            question, about, peer.known, self.phase, body=body,
         )  # fmt: skip
+        room = ROOM - len(msgspec.msgpack.encode(bare)) - 2  # which the count of the words may take
+        return msgspec.structs.replace(bare, pieces=self._pieces(to, room))
 
     def leave(self, now: float) -> list[Message]:
         """This gateway stops in order: a few are told, and pass it on."""
@@ -294,33 +309,36 @@
 
     # What is heard
 
-    def received(self, now: float, message: Message) -> list[Message]:
+    def received(self, now: float, message: Message) -> Heard:
         """Take a message whose seal was good. What changes nothing is counted, and at most told so."""
         peer = self.peers.get(message.sender)
         if message.to != self.name:
-            return self._drop("misrouted")
+            return self._pass("misrouted")
         if message.sender == self.name:
             if message.run != self.run:
                 self.behind = max(self.behind, message.boot)
-            return self._drop("own name")
+            return self._pass("own name")
         if peer is None:
-            return self._drop("stranger")
+            return self._pass("stranger")
         if message.boot < peer.known or (
             message.boot == peer.number[0] and peer.run and message.run != peer.run
         ):
-            self._drop("old run")
-            return self._hello(now, peer, message)
+            return self._pass("old run", self._hello(now, peer, message))
         if message.to_run != self.run:
-            self._drop("meant for another run")
-            return self._hello(now, peer, message)
+            return self._pass("meant for another run", self._hello(now, peer, message))
         if message.run != peer.run:
             peer.seen = Seen()
         if not peer.seen.take(message.number):
-            return self._drop("repeated")
+            return self._pass("repeated")
         self._heard(now, peer, message)
         for piece in message.pieces:
             self._piece(now, piece)
-        return self._answer(now, peer, message)
+        return Heard(True, self._answer(now, peer, message))
+
+    def _pass(self, reason: str, answers: Iterable[Message] = ()) -> Heard:
+        """Nothing of the message was taken."""
+        self._drop(reason)
+        return Heard(False, [*answers])
 
     def _drop(self, reason: str) -> list[Message]:
         self.dropped[reason] = self.dropped.get(reason, 0) + 1
@@ -403,8 +421,6 @@
         if word in NEWER:
             peer.number = number
             self._news[peer.name] = 0
-            if after is not Standing.SUSPECT:
-                peer.by = set()
         if after is before:
             return
         peer.standing, peer.since, peer.why = after, now, why
@@ -448,27 +464,37 @@
 
     # What is passed on
 
-    def _pieces(self, to: str) -> tuple[Piece, ...]:
-        """Words for a message: what its receiver has to refute, news least told first, two in turn."""
+    def _pieces(self, to: str, room: int) -> tuple[Piece, ...]:
+        """Words of `room` bytes in all: what the receiver has to refute, news least told first, two in turn.
+        One for which there is no room counts as not told."""
         size = len(self.peers) + 1
         limit = math.ceil(self.pace.told * max(1.0, math.log10(size)))
-        names: list[str] = []
+        words: dict[str, Piece] = {}
+
+        def put(name: str) -> bool:
+            nonlocal room
+            word = self._word(name)
+            length = len(msgspec.msgpack.encode(word))
+            if length <= room:
+                room -= length
+                words[name] = word
+            return name in words
+
         receiver = self.peers[to]
         if receiver.standing in (Standing.SUSPECT, Standing.DEAD, Standing.LEFT):
-            names.append(to)  # so that it learns of it from the first message (Lifeguard's buddy system)
+            put(to)  # so that it learns of it from the first message (Lifeguard's buddy system)
         news = sorted((x for x in self._news if x != to), key=lambda x: (self._news[x], x))
         for name in news[: self.pace.pieces]:
-            names.append(name)
-            self._news[name] += 1
-            if self._news[name] >= limit:
-                del self._news[name]
+            if put(name):
+                self._news[name] += 1
+                if self._news[name] >= limit:
+                    del self._news[name]
         known = [x.name for x in self.peers.values() if x.standing is not Standing.UNKNOWN and x.name != to]
         for _ in range(min(2, len(known))):
-            self._turning += 1
-            name = known[self._turning % len(known)]
-            if name not in names:
-                names.append(name)
-        return tuple(self._word(x) for x in names)
+            name = known[(self._turning + 1) % len(known)]
+            if name in words or put(name):
+                self._turning += 1
+        return tuple(words.values())
 
     def _word(self, name: str) -> Piece:
         if name == self.name:
--- a/otterglade/core/fleet/messages.py
+++ b/otterglade/core/fleet/messages.py
@@ -17,6 +17,13 @@
 MAC_BYTES = 16
 MOST = 1200
 """Bytes of a datagram, seal included: what every path carries in one piece (RFC 8085, section 3.2)."""
+KEY_NAME = 100
+"""Bytes of a key's name at most: as long as the longest of the script's names."""
+ROOM = MOST - 1 - KEY_NAME - MAC_BYTES
+"""Bytes of a message without its seal."""
+BODY = 700
+"""Bytes of a body that goes out whatever the names of sender and receiver: two of 100 characters, the longest
+phase and the highest numbers leave this much of ROOM."""
 WINDOW = 64
 """Numbers behind the highest that are still taken, once each: datagrams overtake one another (RFC 4303,
 section 3.4.3)."""
@@ -97,7 +104,12 @@
     """Authenticates datagrams with the keys that addresses are signed with, under another name."""
 
     def __init__(self, keys: Mapping[str, bytes], sign_with: str) -> None:
+        """Raises ValueError where the signing key's name is over KEY_NAME bytes."""
         self._keys, self._sign_with = dict(keys), sign_with
+        if len(sign_with.encode()) > KEY_NAME:
+            raise ValueError(
+                f"tokens.sign_with: found a name of {len(sign_with.encode())} bytes; allowed: {KEY_NAME}"
+            )
 
     def _mac(self, name: str, payload: bytes) -> bytes:
         mac = hashlib.blake2b(
--- a/otterglade/core/fleet/witness.py
+++ b/otterglade/core/fleet/witness.py
@@ -16,6 +16,7 @@
 from __future__ import annotations
 
 import hashlib
+import itertools
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -24,10 +25,14 @@
 
 from ..attempts import Fate
 from ..claims import Claim
+from .messages import BODY
 
 MOST_CLAIMS = 100_000
 """Kept at most; beyond, a witness abstains: dropping one would be forgetting it."""
 
+AGED_AT_ONCE = 4
+"""Claims of a kind that a claim looks at, whether they are to be forgotten: a bound of its time."""
+
 Name = tuple[str, str, str]
 """Viewer, class, title: a session as all gateways call it."""
 
@@ -141,6 +146,9 @@
         """Seconds for which an attempt that may run, and one that plays, is kept."""
         self._for = {Stands.BEGUN: unsure_for, Stands.SEEN: seen_for}
         self.kept: dict[Name, Kept] = {}
+        self._order: dict[Stands, dict[Name, None]] = {x: {} for x in self._for}
+        """Names by what stands of them, those that stand so the longest first: one order for both would be
+        one of times, not of ends, as they are kept for other times."""
         self._pending: set[str] = set()
         """Set-ups whose record is on its way to the disk: asked again, they are not answered before it is
         there, as a word that a power loss takes back is no word."""
@@ -157,17 +165,17 @@
             except (msgspec.MsgspecError, ValueError) as error:
                 raise WitnessError(f"record of a witness: {error}") from error
             if stands is Stands.NOTHING:
-                self.kept.pop(name_of(record.claim), None)
+                self._forget(name_of(record.claim))
             else:
-                self.kept[name_of(record.claim)] = Kept(record.claim, stands, now)
+                self._keep(Kept(record.claim, stands, now))
 
     def claim(self, now: float, claim: Claim) -> tuple[Word, bytes | None]:
         """A claim: what to answer, and the record to make durable first, None where nothing has changed.
         After a record `durable` or `failed` is due."""
         if self.abstains:
             return Word(claim.setup, False, self.abstains), None
-        self._age(now)
         name = name_of(claim)
+        self._age(now, name)
         kept = self.kept.get(name)
         if kept is None or kept.claim.setup == claim.setup:
             event = Event.CLAIMED
@@ -186,7 +194,7 @@
             return Word(claim.setup, not writes, writes=writes), None
         self._pending.add(claim.setup)
         bare = msgspec.structs.replace(claim, replaces=())
-        self.kept[name] = Kept(bare, after, now)
+        self._keep(Kept(bare, after, now))
         return Word(claim.setup, True), self._record(bare, after)
 
     def durable(self, setup: str) -> None:
@@ -195,7 +203,8 @@
     def failed(self, setup: str, why: str) -> None:
         """A record could not be written: its claimant is told that this word counts for nothing."""
         self._pending.discard(setup)
-        self.kept = {x: y for x, y in self.kept.items() if y.claim.setup != setup}
+        for name in [x for x, y in self.kept.items() if y.claim.setup == setup]:
+            self._forget(name)
         self.abstains = why
 
     def settled(self, now: float, word: Settled) -> bytes | None:
@@ -212,16 +221,32 @@
             return None
         claim = msgspec.structs.replace(kept.claim, seen=after is Stands.SEEN)
         if after is Stands.NOTHING:
-            del self.kept[name]
+            self._forget(name)
         else:
-            self.kept[name] = Kept(claim, after, now)
+            self._keep(Kept(claim, after, now))
         return self._record(claim, after)
 
-    def _age(self, now: float) -> None:
-        """Forget the oldest, as far as they are as old as stated; they stand in the order of their claims."""
-        for name, kept in list(self.kept.items())[:4]:
-            if now - kept.at > self._for[kept.stands] and NEXT[kept.stands, Event.AGED] is Stands.NOTHING:
-                del self.kept[name]
+    def _keep(self, kept: Kept) -> None:
+        """From now on: behind all that stand alike."""
+        name = name_of(kept.claim)
+        self._forget(name)
+        self.kept[name] = kept
+        self._order[kept.stands][name] = None
+
+    def _forget(self, name: Name) -> None:
+        kept = self.kept.pop(name, None)
+        if kept is not None:
+            del self._order[kept.stands][name]
+
+    def _age(self, now: float, asked: Name) -> None:
+        """Forget what is as old as stated: of the session that is asked about in any case, and of each kind
+        AGED_AT_ONCE of the oldest: more than a claim adds, so that none stays for good."""
+        for stands, order in self._order.items():
+            for name in (asked, *itertools.islice(order, AGED_AT_ONCE)):
+                if name not in order or now - self.kept[name].at <= self._for[stands]:
+                    continue
+                if NEXT[stands, Event.AGED] is Stands.NOTHING:
+                    self._forget(name)
 
     def _record(self, claim: Claim, stands: Stands) -> bytes:
         self.appended += 1
@@ -260,6 +285,12 @@
     """Who abstained, or was silent, and why."""
     other: Claim | None = None
 
+    def __post_init__(self) -> None:
+        """Of what the claim replaces the oldest are left out until it goes into a datagram: they are found
+        out anew, at the cost of a question. Else no witness would hear of it, and its viewer be refused."""
+        while self.claim.replaces and len(msgspec.msgpack.encode(self.claim)) > BODY:
+            self.claim = msgspec.structs.replace(self.claim, replaces=self.claim.replaces[1:])
+
     @property
     def majority(self) -> int:
         return len(self.asked) // 2 + 1
--- a/otterglade/explore/gossip.py
+++ b/otterglade/explore/gossip.py
@@ -149,7 +149,7 @@
             seat.stopped.append(message)
             return
         before = seat.members.due()
-        self.send(seat.members.received(self.now, message))
+        self.send(seat.members.received(self.now, message).answers)
         self._changed(message.to, seat.members)
         if seat.members.due() != before:
             self._alarm(message.to, seat.members)
--- a/otterglade/net/threads.py
+++ b/otterglade/net/threads.py
@@ -12,6 +12,13 @@
 interpreter's own loop. The gateway's tests on loopback pass with 64 KiB; this leaves a factor of four.
 """
 
+_starting = threading.Lock()
+"""Held from the setting of the stack size to its setting back: the size is the process's. Of two threads that
+start others at once, the second would read the first one's size as the one to set back, which then remained
+for every thread of the process; and the first would set it back before the second one's thread is made, which
+then reserved the system's size. A thread that other code starts meanwhile gets a small stack all the same;
+all of this program's go through `spawn`."""
+
 Failure = Callable[[str, BaseException], None]
 
 
@@ -28,9 +35,10 @@
             on_failure(name, error)
 
     thread = threading.Thread(target=run, name=name, daemon=True)
-    before = threading.stack_size(STACK)
-    try:
-        thread.start()
-    finally:
-        threading.stack_size(before)
+    with _starting:
+        before = threading.stack_size(STACK)
+        try:
+            thread.start()
+        finally:
+            threading.stack_size(before)
     return thread
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -9,7 +9,7 @@
 import pytest
 
 from otterglade.core.fleet import members as module
-from otterglade.core.fleet.members import Members
+from otterglade.core.fleet.members import Heard, Members
 from otterglade.core.fleet.messages import Kind, Message, Piece, Seal, SealError, Seen
 from otterglade.core.fleet.standing import NEXT, UNREACHABLE, Said, Standing, said
 from otterglade.explore.gossip import SEAL, Links, Mesh
@@ -242,7 +242,7 @@
 def test_strangers_and_wrong_receivers_are_dropped_and_counted() -> None:
     members = Members("a", 1, "r", ("a", "b"), 0.0, 1)
     for sender, to in (("z", "a"), ("b", "c"), ("a", "a")):
-        assert members.received(1.0, Message(Kind.PING, sender, 1, 0, "x", 1, to, "r")) == []
+        assert members.received(1.0, Message(Kind.PING, sender, 1, 0, "x", 1, to, "r")) == Heard(False, [])
     assert members.dropped == {"stranger": 1, "misrouted": 1, "own name": 1}
     members.received(1.0, Message(Kind.PING, "b", 1, 0, "x", 1, "a", "r", pieces=(Piece("z", "dead", 1, 0),)))
     members.received(1.0, Message(Kind.PING, "b", 1, 0, "x", 2, "a", "r", pieces=(Piece("b", "odd", 1, 0),)))
