Threads mended: an append beside close, a pool without threads, a late cancel

Change: told with ESHUTDOWN and a wait for the end; a thread counts once it runs; begin, end and cancel under a lock. Loop.closed lets a stop wait for the last inputs.

--- a/otterglade/gateway/journal.py
+++ b/otterglade/gateway/journal.py
@@ -213,3 +213,7 @@
     def close(self) -> None:
         if self._log is not None:
             self._log.close()
+
+    def closed(self, limit: float) -> bool:
+        """Wait until what was handed in is written; from any thread, after `close` was."""
+        return self._log is None or self._log.closed(limit)
--- a/otterglade/gateway/loop.py
+++ b/otterglade/gateway/loop.py
@@ -10,6 +10,7 @@
 import heapq
 import itertools
 import queue
+import threading
 import time
 from collections import deque
 from collections.abc import Callable, Iterable
@@ -43,6 +44,7 @@
     ) -> None:  # fmt: skip
         self.desk, self._carry, self._on_failure, self._clock = desk, carry, on_failure, clock
         self._inbox: queue.SimpleQueue[Input | None] = queue.SimpleQueue()
+        self._ended = threading.Event()
         self._chores: deque[Input] = deque()
         self._alarms: list[tuple[float, int, d.Alarm | Input]] = []
         self._order = itertools.count()
@@ -71,10 +73,21 @@
         self._inbox.put(_nothing)  # wakes the loop
 
     def stop(self) -> None:
-        """The loop ends once it has done what was handed in before."""
+        """The loop ends once it has done what was handed in before; chores that wait are left."""
         self._inbox.put(None)
 
+    def closed(self, limit: float) -> bool:
+        """Wait, at most `limit` seconds, until the loop has ended: what its last inputs hand to other
+        threads, such as a file to be kept, has been handed in by then, and can be waited for."""
+        return self._ended.wait(limit)
+
     def _run(self) -> None:
+        try:
+            self._decide()
+        finally:
+            self._ended.set()
+
+    def _decide(self) -> None:
         self._orders(self.desk.start(self._clock()))
         passed = 0
         while True:
--- a/otterglade/net/http.py
+++ b/otterglade/net/http.py
@@ -191,12 +191,27 @@
     """An exchange under way, which another thread may cancel."""
 
     cancelled: bool = False
-    stream: Stream | None = None
+    _stream: Stream | None = None
+    _lock: threading.Lock = field(default_factory=threading.Lock)
 
     def cancel(self) -> None:
-        self.cancelled = True
-        if self.stream is not None:
-            self.stream.abort()
+        with self._lock:
+            self.cancelled = True
+            if self._stream is not None:
+                self._stream.abort()
+
+    def begin(self, stream: Stream) -> bool:
+        """From here on `cancel` aborts this stream; False: it has come already."""
+        with self._lock:
+            self._stream = stream
+            return not self.cancelled
+
+    def end(self) -> bool:
+        """The stream is this call's no longer: a `cancel` that comes late would abort the exchange that has
+        the connection next. False: it came before."""
+        with self._lock:
+            self._stream = None
+            return not self.cancelled
 
 
 def _coarse(seconds: float) -> float:
@@ -236,8 +251,7 @@
         began = time.monotonic()
         call = call or Call()
         connection = (None if fresh else self._take_idle()) or self._connect(deadline, call)
-        call.stream = connection.stream
-        if call.cancelled:
+        if not call.begin(connection.stream):
             connection.stream.close()
             raise ExchangeError(Phase.UNSENT, Trouble.CANCELLED, "before it was sent")
         kept = False
@@ -245,12 +259,12 @@
             self._send(connection, http1.request(method, target, self.host, fields, body), deadline, call)
             connection.reader.expect(method)
             head, content = self._read(connection, deadline, call)
-            kept = head.keep_alive and connection.reader.idle and not call.cancelled
+            kept = head.keep_alive and connection.reader.idle
         finally:
-            call.stream = None
-            if not kept:
+            if call.end() and kept:
+                self._give_back(connection)
+            else:
                 connection.stream.close()
-        self._give_back(connection)
         return Answer(head.status, head.fields, content, time.monotonic() - began)
 
     def open(
--- a/otterglade/net/workers.py
+++ b/otterglade/net/workers.py
@@ -25,6 +25,8 @@
         self._name, self.most, self._on_failure, self._idle_limit = name, most, on_failure, idle
         self._jobs: queue.SimpleQueue[Job] = queue.SimpleQueue()
         self._lock = threading.Lock()
+        self._growing = threading.Lock()
+        """Held while a thread is started: until that has worked or failed nobody else relies on it."""
         self._threads = 0
         self._pending = 0
         """Jobs given and not finished."""
@@ -39,21 +41,39 @@
         return self._pending
 
     def submit(self, job: Job) -> None:
+        """Raises RuntimeError, and never runs the job, where there is no thread and the system has none."""
         with self._lock:
             self._pending += 1
-            grow = self._pending > self._threads and self._threads < self.most
-            if grow:
-                self._threads += 1
-        self._jobs.put(job)
+            grow = self._wants_thread()
         if grow:
+            self._grow()
+        self._jobs.put(job)
+
+    def _wants_thread(self) -> bool:
+        return self._pending > self._threads and self._threads < self.most
+
+    def _grow(self) -> None:
+        with self._growing:
+            with self._lock:
+                if not self._wants_thread():
+                    return
             try:
                 spawn(self._name, self._work, self._on_failure)
             except RuntimeError as error:  # the system has no thread: those there are go on
                 with self._lock:
-                    self._threads -= 1
                     if not self._threads:
+                        self._finished()
                         raise
                 self._on_failure(self._name, error)
+            else:
+                with self._lock:
+                    self._threads += 1
+
+    def _finished(self) -> None:
+        """A job has been done, or won't be; with the lock held."""
+        self._pending -= 1
+        if not self._pending:
+            self._empty.notify_all()
 
     def wait_idle(self, limit: float) -> bool:
         """Wait until every job is done, at most `limit` seconds."""
@@ -86,6 +106,4 @@
                 self._on_failure(self._name, error)
             finally:
                 with self._lock:
-                    self._pending -= 1
-                    if not self._pending:
-                        self._empty.notify_all()
+                    self._finished()
--- a/otterglade/store/log.py
+++ b/otterglade/store/log.py
@@ -11,6 +11,7 @@
 import contextlib
 import errno
 import queue
+import threading
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from pathlib import Path
@@ -20,7 +21,8 @@
 from .disk import Disk, RealDisk
 
 Done = Callable[[OSError | None], None]
-"""Called on the log's thread once a record is durable, or with why it is not."""
+"""Called on the log's thread once a record is durable, or with why it is not; after the log's end on the
+thread that hands in."""
 
 
 class DamagedError(Exception):
@@ -67,6 +69,7 @@
         self._fd = -1
         self._current = 0
         self._size = 0
+        self._ended = threading.Event()
         self.syncs = 0
         self.appended = 0
         self.size = 0
@@ -89,16 +92,34 @@
         """Write a record; `done` is told when it is durable. Raises ValueError over the bound of a record."""
         if len(record) > frames.MOST:
             raise ValueError(f"record of {len(record)} bytes; at most {frames.MOST}")
-        self._jobs.put(_Append(record, done))
+        self._hand_in(_Append(record, done))
 
     def compact(self, snapshot: Sequence[bytes], done: Done | None = None) -> None:
         """Let `snapshot` stand for all that was appended before this call; older files go."""
-        self._jobs.put(_Compact(tuple(snapshot), done))
+        self._hand_in(_Compact(tuple(snapshot), done))
+
+    def _hand_in(self, job: _Append | _Compact) -> None:
+        self._jobs.put(job)
+        if self._ended.is_set():  # looked at after the put: this thread sees the end, or the log's the job
+            self._refuse()
+
+    def _refuse(self) -> None:
+        """Tell those that came after the end that nothing is kept: they would wait for ever."""
+        with contextlib.suppress(queue.Empty):
+            while True:
+                job = self._jobs.get_nowait()
+                if not isinstance(job, _Stop):
+                    self._tell([job.done], OSError(errno.ESHUTDOWN, "the log is closed"))
 
     def close(self) -> None:
-        """Write what was handed in, and end."""
+        """Write what was handed in, and end: see `closed`."""
         self._jobs.put(_Stop())
 
+    def closed(self, limit: float) -> bool:
+        """Wait, at most `limit` seconds, until all is written: the folder is this log's until then, and who
+        opens it before finds half of a record, or has one written into what it has read."""
+        return self._ended.wait(limit)
+
     # Recovery
 
     def _path(self, prefix: str, number: int) -> Path:
@@ -200,6 +221,8 @@
             elif isinstance(job, _Stop):
                 if self._fd >= 0:
                     self._disk.close(self._fd)
+                self._ended.set()
+                self._refuse()
                 return
 
     @staticmethod
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -130,6 +130,7 @@
     def do(self) -> None:
         self.log.close()
         self.log._work()  # its close leaves the descriptor usable here, so that the next call goes on
+        self.log._ended.clear()
 
     def append(self, *records: bytes) -> None:
         for record in records:
