Interleavings: every schedule of a few threads of the shipped code under a checker

Need: the daemon is threads, and the explorer sees its decisions and no thread. Change: otterglade/interleave plays the product's own text under a scheduler that owns each switch (locks, events, queues, racing reads and writes found by vector clocks), virtual time, fewest preemptions first, happens-before caching; 20 subjects of store, net and gateway; a schedule is a name that can be replayed.

--- /dev/null
+++ b/otterglade/interleave/plants.py
@@ -0,0 +1,122 @@
+"""Faults of threads planted in the product's text, in a copy of one module: proof that the subjects see them."""
+# ruff: noqa: E501 - a fault's text is a line
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from .search import Found
+from .subjects import BY_NAME
+
+
+@dataclass(frozen=True, slots=True)
+class Plant:
+    """One change of one place."""
+
+    name: str
+    subject: str
+    module: str
+    old: str
+    new: str
+
+    def found(self) -> Found:
+        """What its subject says of it. Raises shipped.PlantError where the text has changed."""
+        return BY_NAME[self.subject].explore(edits={self.module: ((self.old, self.new),)})
+
+
+_WRITE = "            self._all(self._fd, data)\n            self._disk.sync(self._fd)\n"
+_BATCH = "self._tell([x.done for x in batch], self._try(lambda b=batch: self._write(b)))"
+_HAND = """        self._jobs.put(job)
+        if self._ended.is_set():"""
+_COUNT = """        with self._lock:
+            self._pending += 1
+            grow"""
+_WAITS = """            trouble = "" if error is None else f"paid sessions can't be recorded: {error}"
+            self._loop().put(lambda desk, now: self._written(desk, now, setup, key, trouble))"""
+_SAVE = """            with self._saving:  # of two at once the older must not come last
+                identity.save(self._folder, self._identity)"""
+
+_CANCEL = """        with self._lock:
+            self.cancelled = True
+            if self._stream is not None:
+                self._stream.abort()"""
+
+PLANTS = tuple(
+    Plant(*x)
+    for x in (
+        ("told before the sync", "log-appends", "store.log", _WRITE, _WRITE.splitlines()[0] + "\n"),
+        ("told before the write", "log-appends", "store.log", f"                {_BATCH}",
+         "                self._tell([x.done for x in batch], None)\n                self._try(lambda b=batch: self._write(b))"),
+        ("queue order swapped", "log-appends", "store.log", "batch.append(job)", "batch.insert(0, job)"),
+        ("close drops what it overtakes", "log-appends", "store.log", "            if batch:\n",
+         "            if batch and not isinstance(job, _Stop):\n"),
+        ("one of a batch told", "log-appends", "store.log", "for done in told:", "for done in told[:1]:"),
+        ("callback twice", "log-appends", "store.log", "                    done(error)\n",
+         "                    done(error)\n                    if len(told) > 1:\n                        done(error)\n"),
+        ("end: not looked again", "log-close", "store.log", "self._ended.set()\n                self._refuse()",
+         "self._ended.set()"),
+        ("end: looked at before the put", "log-close", "store.log", _HAND,
+         "        ended = self._ended.is_set()\n        self._jobs.put(job)\n        if ended:"),
+        ("end: told before it is", "log-close", "store.log", "self._ended.set()\n                self._refuse()",
+         "self._refuse()\n                self._ended.set()"),
+        ("compaction on the caller's thread", "log-compacts", "store.log",
+         "self._hand_in(_Compact(tuple(snapshot), done))",
+         "self._tell([done], self._try(lambda: self._snapshot(tuple(snapshot))))"),
+        ("a failed write told as good", "log-fails", "store.log", "            return error\n        return None",
+         "            return None if error.errno else error\n        return None"),
+        ("a file gone on with after a failed sync", "log-fails", "store.log",
+         "            self._abandon()\n            raise", "            raise"),
+        ("count without the lock", "workers-limit", "net.workers", _COUNT,
+         _COUNT.replace("with self._lock", "if True")),
+        ("check then act: no second look", "workers-limit", "net.workers",
+         "                if not self._wants_thread():\n                    return\n", "                pass\n"),
+        ("a thread counted before there is one", "workers-no-thread", "net.workers",
+         "        if grow:\n            self._grow()\n        self._jobs.put(job)",
+         "        self._jobs.put(job)\n        if grow:\n            self._grow()"),
+        ("idle thread ends without looking again", "workers-idle", "net.workers",
+         "if self._pending < self._threads:", "if True:"),
+        ("notify before the change", "workers-order", "net.workers",
+         "        self._pending -= 1\n        if not self._pending:\n            self._empty.notify_all()",
+         "        if self._pending == 1:\n            self._empty.notify_all()\n            self._lock.release()\n"
+         "            self._lock.acquire()\n        self._pending -= 1"),
+        ("no notify", "workers-order", "net.workers", "            self._empty.notify_all()", "            pass"),
+        ("waits without looking", "workers-order", "net.workers",
+         "self._empty.wait_for(lambda: not self._pending, limit)", "self._empty.wait(limit)"),
+        ("job under the lock", "workers-order", "net.workers", "                job()\n",
+         "                with self._lock:\n                    job()\n"),
+        ("stop overtakes", "loop-stop", "gateway.loop", "        self._inbox.put(None)\n",
+         "        self._chores.append(lambda desk, now: [])\n        self._inbox, old = queue.SimpleQueue(), self._inbox\n"
+         "        self._inbox.put(None)\n        old.put(None)\n"),
+        ("wakes before there is work", "loop-alarm", "gateway.loop",
+         "        self._chores.extend(work)\n        self._inbox.put(_nothing)  # wakes the loop",
+         "        self._inbox.put(_nothing)\n        self._chores.extend(work)"),
+        ("stack size without the lock", "spawn", "net.threads", "    with _starting:", "    if True:"),
+        ("stop does not wake who accepts", "listener-stop", "net.listener",
+         "        self._ring()\n        self._closed.wait(1.0)", "        self._closed.wait(1.0)"),
+        ("wakes before it says why", "listener-stop", "net.listener",
+         "        self._aborting = True\n        self._ring()", "        self._ring()\n        self._aborting = True"),
+        ("answer on the log's thread", "journal-stop", "gateway.journal", _WAITS,
+         _WAITS.replace("self._loop().put(lambda desk, now: self._written(desk, now, setup, key, trouble))",
+                        "self._written(desk, now, setup, key, trouble)")),
+        ("answer before the record is handed in", "journal-stop", "gateway.journal",
+         "            self._log.append(record, done)\n        replaces",
+         "            done(None)\n            self._log.append(record)\n        replaces"),
+        ("saves without the lock", "peers-saves", "gateway.peers", _SAVE, _SAVE.replace("with self._saving", "if True")),
+        ("read before the lock", "peers-saves", "gateway.peers", _SAVE,
+         "            mine = self._identity\n            with self._saving:\n"
+         "                identity.save(self._folder, mine)"),
+        ("looked at twice", "call-cancel", "net.http", _CANCEL, _CANCEL.replace("with self._lock", "if True")),
+        ("end without the lock", "call-cancel", "net.http",
+         "        with self._lock:\n            self._stream = None\n            return not self.cancelled",
+         "        fine = not self.cancelled\n        self._stream = None\n        return fine"),
+        ("cancelled before it began, and sent", "call-cancel", "net.http",
+         "            self._stream = stream\n            return not self.cancelled",
+         "            self._stream = stream\n            return True"),
+        ("one count changed by two threads", "peers-socket", "gateway.peers", "self._handed_in += 1", "self._taken -= 1"),
+        ("stop does not wait for the loop", "stop-no-store", "gateway.daemon",
+         "        if not self.loop.closed(max(1.0, deadline - time.monotonic())):\n", "        if False:\n"),
+        ("stop does not wait for the log", "stop", "gateway.daemon",
+         "        if not self.journal.closed(max(1.0, deadline - time.monotonic())):\n", "        if False:\n"),
+        ("stop does not wait for the saves", "stop", "gateway.peers", "        self._saves.wait_idle(limit)\n", ""),
+    )
+)  # fmt: skip
