--- a/tests/test_duty.py
+++ b/tests/test_duty.py
@@ -13,11 +13,11 @@
 import msgspec
 import pytest
 
-from otterglade.core.fleet.duty import Down, Duties, Fence, Part, Told, Up, Voters, Write
+from otterglade.core.fleet.duty import Down, Duties, Fence, Part, Told, Up, Voters, Write, _packed
 from otterglade.core.fleet.fleet import Fleet, Send
 from otterglade.core.fleet.members import Members
 from otterglade.core.fleet.messages import MOST, Kind, Message, Seal
-from otterglade.core.fleet.register import Record
+from otterglade.core.fleet.register import Ask, Held, Record, Says, Stage, Vote, Voted, Voter
 from otterglade.core.fleet.witness import Witness
 from otterglade.core.fleet.work import MOST_STATE, MOST_SUM, Order
 
@@ -686,6 +686,83 @@
     assert [x.sum for x in question.parts] == [b""]
 
 
+def test_a_log_can_be_packed_at_any_moment_and_a_doubt_voids_what_is_on_its_way() -> None:
+    world = World(4, 16, duties=(("routes", True),))
+    world.run(8.0)
+    duties, now = world.of("g0"), world.local("g0")
+    line, acceptor = duties._lines["routes"], duties._lines["routes"].acceptor
+    assert acceptor is not None and line.fence is not None and acceptor.kept.held is not None
+    later = msgspec.structs.replace(acceptor.kept.held, number=999)
+    vote = Vote("routes", Ask.ACCEPT, acceptor.kept.accepted, 1, later)
+    (write,) = duties._vote(now, line, "g1", "r", 1, vote)
+    coming = Order("routes", 9, 1, "g1", b"z", now + 1.0)
+    for order, mark in ((None, line.fence.mark), (coming, (9, 1))):
+        line.coming = order
+        again = Duties(
+            Members("g0", 9, "r", world.names, now, 1),
+            world.voters,
+            [Count(world, "g0", "routes", True)],
+            now,
+            1,
+        )
+        again.restore(duties.snapshot(), now)
+        found = again._lines["routes"]
+        assert found.fence is not None and found.fence.mark == mark
+        assert found.acceptor is not None and found.acceptor.kept.held == later
+    line.coming = None
+    assert isinstance(write, Write)
+    duties.abstains = "old"
+    duties.abstains = ""
+    line.read = {x: Voted("routes", Ask.READ, Says.YES) for x in ("g1", "g2")}
+    (rebuilt,) = duties._rebuild(now, line)
+    assert not duties.written(now, write.token) and acceptor.state is Voter.REBUILDS
+    assert isinstance(rebuilt, Write)
+    duties.written(now, rebuilt.token, "full")
+    assert not duties._rebuild(now + 1.0, line) and duties._rebuild(now + 11.0, line)
+
+
+def test_one_that_stops_takes_no_duty_and_a_state_over_the_bound_does_not_stand() -> None:
+    world = World(3, 17, every=1)
+    world.run(8.0)
+    (first,) = world.owning()
+    work, line = world.places[first].works[0], world.of(first)._lines["shed"]
+    work.decide = lambda now, state, told: b"s" * (MOST_STATE + 1)  # type: ignore[method-assign]
+    world.run(1.0)
+    assert line.refused["decided state too long"] >= 1 and world.ordered(by=first)
+    world._carry(first, world.of(first).hand_over(world.local(first)))
+    world.until(world.owning, 1.0)
+    (second,) = world.owning()
+    assert line.proposer.stage is Stage.IDLE
+    yours = Vote("shed", Ask.YOURS, (99, second, "r"), 1, Held(9, first, f"{first}-1", 1, b"", 1))
+    body = msgspec.msgpack.encode(yours)
+    world.of(first).received(
+        world.local(first), Message(Kind.VOTE, second, 1, 0, "r", 1, first, "", body=body)
+    )
+    assert line.proposer.stage is Stage.IDLE
+    world.kill(second)
+    third = next(x for x in world.names if x not in (first, second))
+    world.stop(third)
+    for _ in range(300):
+        world.run(0.02)
+        assert line.proposer.stage is Stage.IDLE
+
+
+def test_ranks_wait_in_turn_the_tree_has_the_owner_on_top_and_messages_are_packed() -> None:
+    world = World(30, 18)
+    world.run(8.0)
+    (owner,) = world.owning()
+    lines = {x: (world.of(x), world.of(x)._lines["shed"]) for x in world.names if x != owner}
+    above = {x: duties._above(line) for x, (duties, line) in lines.items()}
+    below = [sum(y == x for y in above.values()) for x in world.names]
+    assert below[world.names.index(owner)] == 8 == max(below) and sum(below) == 29
+    assert all(owner in (x, above.get(x), above.get(above.get(x, ""))) for x in world.names)
+    for rank, name in enumerate(world.of(owner)._names):
+        assert world.of(name)._wait(0) >= 0.1 * min(rank, 8)
+    told = [Told(x, 1, 1, "g1", 1.0, b"s" * MOST_STATE) for x in ("shed", "routes")]
+    assert [len(x) for x in _packed(told)] == [1, 1]
+    assert [len(x) for x in _packed([Part(x, 1, 1, 1, b"s" * MOST_SUM) for x in ("shed", "routes")])] == [2]
+
+
 @pytest.mark.long
 def test_what_a_gateway_sends_does_not_grow_with_the_fleet() -> None:
     sent = {}
--- a/tests/test_register.py
+++ b/tests/test_register.py
@@ -184,7 +184,7 @@
 def test_within_a_ballot_marks_rise_term_first() -> None:
     voter = free()
     assert says(voter, L, Ask.ACCEPT, A, held(2, 1)) is Says.YES
-    for value in (held(1, 9), held(2, 0)):
+    for value in (held(1, 9), held(2, 0), held(1 << 53, 1), held(3, 1 << 53)):
         assert says(voter, L, Ask.ACCEPT, A, value) is Says.NO
     assert says(voter, L, Ask.ACCEPT, A, held(2, 2)) is Says.YES
     assert voter.kept.held == held(2, 2)
@@ -215,6 +215,16 @@
     assert says(voter, 2.0 * L, Ask.PREPARE, (6, "b", "b1")) is Says.YES
 
 
+def test_who_says_nothing_is_asked_again_under_the_same_question() -> None:
+    one = owner()
+    out = one.tick(0.4)
+    answered(one, 0.4, out, Says.YES, "v")
+    again = one.tick(one.due())
+    assert {x[0] for x in again} == {"w", "x"} and {x[1] for x in again} == {x[1] for x in out}
+    answered(one, 0.6, again, Says.YES, "w")
+    assert one.lease == pytest.approx(0.4 + 0.95 * L)
+
+
 def test_only_the_process_that_was_accepted_renews() -> None:
     voter = free()
     assert says(voter, L, Ask.ACCEPT, A, held(owner="b")) is Says.YES
