--- a/otterglade/config/schema.py
+++ b/otterglade/config/schema.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from ..core import interface as api
+from ..core.fleet import routing
 
 Positive = Annotated[float, msgspec.Meta(gt=0)]
 AtLeast0 = Annotated[float, msgspec.Meta(ge=0)]
@@ -18,6 +19,12 @@
 Index = Annotated[int, msgspec.Meta(ge=0)]
 Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9._~-]{1,100}$")]
 Text = Annotated[str, msgspec.Meta(min_length=1)]
+Account = Annotated[str, msgspec.Meta(pattern=r"^([A-Za-z0-9_~-]{1,100}\*?|\*)$")]
+TitlePattern = Annotated[str, msgspec.Meta(pattern=r"^([A-Za-z0-9._~-]{1,100}\*?|\*)$")]
+MOST_ROUTES = 1000
+"""Rules of a region: a gateway looks through them at each new session."""
+MOST_LANES = 16
+"""What gateways tell one another of lanes has room for so many."""
 
 
 class Block(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
@@ -203,6 +210,71 @@
     """Gateways at which a paid set-up is witnessed, by a majority, before it goes out, so that a viewer is
     not charged again when hosts and gateways have lost power; 0: none. Odd, and no more than there are
     members."""
+    voters: tuple[Name, ...] = ()
+    """Members by which each duty of the fleet has one owner, by a majority: 1, 3 or 5, alike in the scripts
+    of all; empty: this gateway has no duties, and obeys none."""
+    voters_number: Count = 1
+    """Which set of voters this is: raised by one at each change, which replaces one voter at most."""
+    voters_before: tuple[Name, ...] = ()
+    """The set that this one replaces: until both have agreed once, each decision takes a majority of both;
+    empty: this is the first set, or the one before is done with."""
+    voters_forced: str = ""
+    """Why this set stands without the one before it, of which a majority is gone for good: a person's word,
+    kept with the duty and in the log; empty: it does not."""
+
+
+class Priority(Block, frozen=True):
+    """A lane: accounts that are shed alike. The order of the blocks is their precedence, the first is shed
+    last; the last block takes everybody else."""
+
+    name: Name
+    accounts: tuple[Account, ...] = ()
+    """Names, or patterns with one `*` at the end; an account is a viewer's key before its first dot."""
+    reserve: Share = 0.0
+    """Of the fleet's room, what the lane may always have; all lanes together at most 1."""
+    least: Share = 0.0
+    """Of the fleet's room, what it is never pushed under while it asks for it; together at most 1."""
+    most_per_account: Index = 0
+    """Sessions of one account in all gateways together, beyond which it counts with the last lane; 0: no
+    bound."""
+
+
+class Region(Block, frozen=True):
+    """Whose gateway this is; without this block there are no rules of regions."""
+
+    name: Name
+    zones: Annotated[tuple[Index, ...], msgspec.Meta(min_length=1)]
+    """Of the registry's list: those whose hosts are the region's own."""
+    cells: tuple[Index, ...] = ()
+    """That lie there, under site.cells; empty: not told, and titles that nobody there holds show in service
+    only."""
+
+
+class Route(Block, frozen=True):
+    """A rule: to which regions' hosts a session may go. The lowest order that matches decides."""
+
+    name: Name
+    order: Index
+    classes: tuple[Name, ...] = ()
+    """Empty: any; so are the others."""
+    titles: tuple[TitlePattern, ...] = ()
+    """Names, or patterns with one `*` at the end."""
+    accounts: tuple[Account, ...] = ()
+    """Names, or patterns with one `*` at the end; an account is a viewer's key before its first dot."""
+    regions: tuple[Name, ...] = ()
+    """In order of preference."""
+    spill: Share = 0.0
+    """Largest share of the rule's sessions that may go beyond the first region."""
+
+
+class Accept(Block, frozen=True):
+    """What this region's hosts take from other regions; without such a block they take nothing."""
+
+    regions: tuple[Name, ...] = ()
+    """Empty: any; so are the classes."""
+    classes: tuple[Name, ...] = ()
+    share: Share = 1.0
+    """Of the region's room, at most."""
 
 
 class Log(Block, frozen=True):
@@ -226,6 +298,44 @@
     log: Log
     tokens: Tokens | None = None
     peers: Peers | None = None
+    lanes: tuple[Priority, ...] = ()
+    """In order of precedence; empty: nothing is shed by lanes."""
+    region: Region | None = None
+    routes: tuple[Route, ...] = ()
+    accepts: tuple[Accept, ...] = ()
+
+    def routing(self) -> routing.Routing:
+        """What all gateways of a region act on alike, and what regions are held against one another by."""
+        contract, peers, region = self.contract, self.peers, self.region
+        return routing.Routing(
+            region=None if region is None else routing.Region(
+                name=region.name, zones=region.zones, cells=region.cells
+            ),
+            routes=tuple(
+                routing.Route(
+                    name=x.name, order=x.order, classes=x.classes, titles=x.titles, accounts=x.accounts,
+                    regions=x.regions, spill=x.spill,
+                ) for x in self.routes
+            ),
+            accepts=tuple(
+                routing.Accept(regions=x.regions, classes=x.classes, share=x.share) for x in self.accepts
+            ),
+            classes=tuple(
+                routing.Terms(name=x.name, effect=x.effect, floor=x.floor, seats=x.seats)
+                for x in self.classes
+            ),
+            lanes=tuple(
+                routing.Lane(
+                    name=x.name, accounts=x.accounts, reserve=x.reserve, least=x.least,
+                    most_per_account=x.most_per_account,
+                ) for x in self.lanes
+            ),
+            titles=tuple(routing.Placed(name=x.name, home=x.home, holders=x.holders) for x in self.titles),
+            cells=self.site.cells,
+            budget=(contract.budget_window, contract.budget_free, contract.budget_share),
+            witnesses=0 if peers is None else peers.witnesses,
+            members=() if peers is None else tuple(peers.members),
+        )  # fmt: skip
 
     def settings(self) -> api.Settings:
         """What the module is told. Raises ValueError naming the field."""
--- a/otterglade/config/script.py
+++ b/otterglade/config/script.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import difflib
+import math
 import re
 from collections.abc import Callable, Iterable, Mapping
 from pathlib import Path
@@ -22,9 +23,12 @@
 ONE: dict[str, type[schema.Block]] = {
     "site": schema.Site, "contract": schema.Contract, "gateway": schema.Gateway, "registry": schema.Registry,
     "reports": schema.Reports, "tokens": schema.Tokens, "limits": schema.Limits, "log": schema.Log,
-    "peers": schema.Peers,
+    "peers": schema.Peers, "region": schema.Region,
+}  # fmt: skip
+MANY: dict[str, type[schema.Block]] = {
+    "session_class": schema.SessionClass, "title": schema.Title, "priority": schema.Priority,
+    "route": schema.Route, "accept": schema.Accept,
 }  # fmt: skip
-MANY: dict[str, type[schema.Block]] = {"session_class": schema.SessionClass, "title": schema.Title}
 REQUIRED = ("site", "contract", "gateway", "registry", "reports")
 
 PLACE = re.compile(r"^ *--> (.*):(\d+):\d+$", re.M)
@@ -136,6 +140,9 @@
     config = schema.Config(
         classes=tuple(collector.many["session_class"]),  # type: ignore[arg-type]
         titles=tuple(collector.many["title"]),  # type: ignore[arg-type]
+        lanes=tuple(collector.many["priority"]),  # type: ignore[arg-type]
+        routes=tuple(collector.many["route"]),  # type: ignore[arg-type]
+        accepts=tuple(collector.many["accept"]),  # type: ignore[arg-type]
         **parts,
     )
     try:
@@ -189,9 +196,65 @@
             )
     token_keys(config)
     _check_peers(config)
+    _check_lanes(config.lanes)
+    _check_routes(config)
     config.settings()
 
 
+def _check_lanes(lanes: tuple[schema.Priority, ...]) -> None:
+    """Shares that fit together, and one lane for everybody else, the last."""
+    if len(lanes) > schema.MOST_LANES:
+        raise ValueError(f"priority: found {len(lanes)} blocks; allowed: at most {schema.MOST_LANES}")
+    for field in ("reserve", "least"):
+        total = math.fsum(getattr(x, field) for x in lanes)
+        if total > 1.0 + 1e-9:
+            raise ValueError(f"priority.{field}: found {total:g} in all; allowed: at most 1")
+    named: dict[str, str] = {}
+    for n, lane in enumerate(lanes):
+        last = n == len(lanes) - 1
+        if last and lane.accounts:
+            raise ValueError(
+                f"priority {lane.name}.accounts: found {list(lane.accounts)}; allowed: none, as the last"
+                " block takes everybody else"
+            )
+        if not last and not lane.accounts:
+            raise ValueError(
+                f"priority {lane.name}.accounts: found none; allowed: names and patterns, in all but the last"
+            )
+        for account in lane.accounts:
+            if account in named:
+                raise ValueError(
+                    f"priority {lane.name}.accounts: found {account!r}, which {named[account]} has; allowed:"
+                    " in one lane"
+                )
+            named[account] = lane.name
+
+
+def _check_routes(config: schema.Config) -> None:
+    """Rules of regions. That a rule names a title or a region that is nowhere is no error here: it is a
+    conflict, which the scripts of all regions tell together."""
+    region, classes = config.region, {x.name for x in config.classes}
+    if region is None:
+        if config.routes or config.accepts:
+            word = f"route {config.routes[0].name}" if config.routes else "accept"
+            raise ValueError(f"{word}: found no region(...); allowed: with one, whose rules these are")
+        return
+    for cell in region.cells:
+        if cell >= config.site.cells:
+            raise ValueError(f"region.cells: found {cell}; allowed: under site.cells ({config.site.cells})")
+    if len(config.routes) > schema.MOST_ROUTES:
+        raise ValueError(f"route: found {len(config.routes)} blocks; allowed: at most {schema.MOST_ROUTES}")
+    if len(config.accepts) > schema.MOST_ROUTES:
+        raise ValueError(f"accept: found {len(config.accepts)} blocks; allowed: at most {schema.MOST_ROUTES}")
+    lists = [(f"route {x.name}", x.classes, x.regions) for x in config.routes]
+    for word, named, regions in [*lists, *(("accept", x.classes, x.regions) for x in config.accepts)]:
+        for name in named:
+            if name not in classes:
+                raise ValueError(f"{word}.classes: found {name!r}; allowed: {nearest(name, classes)}")
+        if len(set(regions)) < len(regions):
+            raise ValueError(f"{word}.regions: found {list(regions)}; allowed: each region once")
+
+
 def _check_peers(config: schema.Config) -> None:
     peers = config.peers
     if peers is None:
@@ -209,6 +272,33 @@
         raise ValueError(
             f"peers.witnesses: found {peers.witnesses}; allowed: at most the {len(peers.members)} members"
         )
+    _check_voters(peers)
+
+
+def _check_voters(peers: schema.Peers) -> None:
+    """The voters of duties: a wrong set could have two majorities that share nobody."""
+    for field, names in (("voters", peers.voters), ("voters_before", peers.voters_before)):
+        if len(names) not in (0, 1, 3, 5) or len(set(names)) != len(names):
+            raise ValueError(f"peers.{field}: found {list(names)}; allowed: 0, 1, 3 or 5 names, each once")
+    for name in peers.voters:
+        if name not in peers.members:
+            raise ValueError(f"peers.voters: found {name!r}; allowed: {nearest(name, peers.members)}")
+    if not peers.voters:
+        if peers.voters_before or peers.voters_forced or peers.voters_number != 1:
+            raise ValueError("peers.voters: found none; allowed: the set that the other voters_... are about")
+        return
+    if peers.voters_before and peers.voters_number < 2:
+        raise ValueError("peers.voters_number: found 1 with voters_before; allowed: over that set's number")
+    if peers.voters_before and peers.voters_forced:
+        raise ValueError("peers.voters_forced: found with voters_before; allowed: one of the two")
+    if peers.voters_forced and peers.voters_number < 2:
+        raise ValueError("peers.voters_number: found 1 with voters_forced; allowed: over the last one")
+    changed = set(peers.voters) ^ set(peers.voters_before)
+    if peers.voters_before and len(changed) > 2:
+        raise ValueError(
+            f"peers.voters_before: found {sorted(changed)} changed; allowed: one voter replaced at a time, or"
+            " two that come or go"
+        )
 
 
 def peer_seal(config: schema.Config) -> Seal:
--- a/otterglade/core/fleet/routing.py
+++ b/otterglade/core/fleet/routing.py
@@ -46,6 +46,11 @@
     spill: float = 0.0
     """Largest share of the rule's sessions that may go beyond the first region."""
 
+    @property
+    def reach(self) -> tuple[str, ...]:
+        """The regions that a session may go to; empty: any that accepts it."""
+        return self.regions if self.spill > 0 else self.regions[:1]
+
 
 class Accept(Part, frozen=True):
     """What this region's hosts take from others."""
@@ -102,6 +107,26 @@
     members: tuple[str, ...] = ()
     """Names of the gateways among which witnesses are drawn."""
 
+    @property
+    def named(self) -> str:
+        """The region's name; empty: none."""
+        return "" if self.region is None else self.region.name
+
+    @cached_property
+    def paid(self) -> frozenset[str]:
+        """Classes of which a set-up twice may be charged twice."""
+        return frozenset(x.name for x in self.classes if x.effect != "safe")
+
+    @cached_property
+    def witnessing(self) -> tuple[int, frozenset[str]]:
+        """What chooses a session's witnesses; with none of them the members make no difference."""
+        return self.witnesses, frozenset(self.members) if self.witnesses else frozenset()
+
+    @cached_property
+    def agreed(self) -> tuple[object, ...]:
+        """What all regions must agree on: the same, and there is nothing to compare."""
+        return frozenset(self.classes), self.budget, self.lanes, self.witnessing
+
     @cached_property
     def canonical(self) -> bytes:
         """The same for all scripts that mean the same."""
