--- a/otterglade/core/interface.py
+++ b/otterglade/core/interface.py
@@ -198,6 +198,8 @@
     top: int
     moved: bool = False
     again: bool = False
+    zones: tuple[int, ...] = ()
+    """Servers of these zones alone; empty: any."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/otterglade/core/sessions.py
+++ b/otterglade/core/sessions.py
@@ -57,6 +57,21 @@
     def handle(self, now: float, event: api.Event) -> list[api.Action]: ...
 
 
+class Guide(Protocol):
+    """Says which zones' hosts a session may use, by the routing rules in force here (`fleet/routes.py`)."""
+
+    def zones(
+        self, now: float, session: int, key: Key, top: int, place: Place, moved: bool,
+        entries: Mapping[int, api.ServerEntry],
+    ) -> tuple[int, ...]: ...  # fmt: skip
+
+    def adopted(self, session: int, key: Key, top: int, zone: int) -> None: ...
+
+    def refused(self, session: int, until: float) -> None: ...
+
+    def over(self, session: int) -> None: ...
+
+
 Recorder = Callable[[float, api.Event | None, list[api.Action]], None]
 """Told each event with the actions it led to; no event at the start."""
 
@@ -82,6 +97,8 @@
         """Paid sessions of which a set-up may have run unseen, and until when that counts."""
         self.budget = Budget(settings)
         self.margin = Margin()
+        self.router: Guide | None = None
+        """None: sessions may use all hosts, as without rules."""
         self._out: list[Order] = []
         self._todo: deque[api.Event] = deque()
 
@@ -106,6 +123,8 @@
             return  # the loop below, further up the stack, comes to it
         while self._todo:
             event = self._todo[0]
+            if self.router is not None and isinstance(event, api.SessionHandedOver):
+                self._routed_before(self.router, event)
             actions = self.controller.handle(self.now, event)
             if self._record is not None:
                 self._record(self.now, event, actions)
@@ -122,6 +141,8 @@
             case api.Refuse(session, come_back):
                 held = self.held.get(session)
                 if held is not None:
+                    if self.router is not None and not self._unseated(held):
+                        self.router.refused(session, self.now + come_back)
                     self._conclude(held, Refused(come_back, "no room"))
             case api.Fail(session):
                 held = self.held.get(session)
@@ -216,13 +237,29 @@
             replaces.replacement = held
         self._attach(held, ask.waiter)
         self._out.append(Alarm(held.deadline, AlarmKind.DEADLINE, held.number))
+        moved = replaces is not None
+        zones: tuple[int, ...] = ()
+        if self.router is not None:
+            zones = self.router.zones(self.now, held.number, ask.key, ask.top, place, moved, self.entries)
         self._feed(
             api.SessionRequest(
                 held.number, class_no, 0, ask.key[2], patience, ask.hint, place.home, place.holders, ask.top,
-                moved=replaces is not None,
+                moved=moved, zones=zones,
             )
         )  # fmt: skip
 
+    def _unseated(self, held: Held) -> bool:
+        """Whether others have the title's seats: that says nothing of room at its hosts."""
+        seats = self.settings.classes[held.key[1]].seats
+        others = (x for x in self.held.values() if x is not held) if seats else ()
+        return bool(seats) and sum(x.key[1:] == held.key[1:] for x in others) >= seats
+
+    def _routed_before(self, router: Guide, event: api.SessionHandedOver) -> None:
+        """A session that is taken over counts where it plays, whatever the rules say now."""
+        held, entry = self.held.get(event.request.session), self.entries.get(event.server)
+        if held is not None and entry is not None:
+            router.adopted(held.number, held.key, held.top, entry.zone)
+
     def _attach(self, held: Held, waiter: int) -> None:
         held.waiters.append(waiter)
         self.waiting[waiter] = held
@@ -369,6 +406,8 @@
     def _forget(self, held: Held) -> None:
         held.phase = Phase.ENDED
         del self.held[held.number]
+        if self.router is not None:
+            self.router.over(held.number)
         if held.replaces is not None:
             held.replaces.replacement = None
         if self.by_key.get(held.key) is held:
--- a/otterglade/core/state.py
+++ b/otterglade/core/state.py
@@ -222,10 +222,11 @@
         return sum(heard) / len(heard) if heard else 0.0
 
     def holders(self, request: api.SessionRequest) -> list[Server]:
-        """The ready servers that hold a title."""
-        cells = self.settings.cells
+        """The ready servers that hold a title, in the zones that the request may use."""
+        cells, zones = self.settings.cells, request.zones
         row = ((request.home + j) % cells for j in range(min(request.holders, cells)))
-        return [server for cell in row for server in self.cells.get(cell, ())]
+        found = [server for cell in row for server in self.cells.get(cell, ())]
+        return [x for x in found if x.entry.zone in zones] if zones else found
 
 
 def _mean(values: Iterable[float]) -> float:
