The tables of duties, editions and parts stand on the page made from the code

Need: each machine is one table of state and event, and operators and readers look at the page made from them. Change: voter, candidate and owner, editions and parts beside those that were there; a cell may name what is done. Result: the test that compares page and code passes.

--- a/otterglade/explore/tables.py
+++ b/otterglade/explore/tables.py
@@ -7,14 +7,22 @@
 from enum import Enum
 from typing import Any
 
-from ..core.fleet import recovery, standing, trust, witness
+from ..core.fleet import editions, parts, recovery, register, standing, trust, witness
 
 
-def _grid(rows: Iterable[Enum], columns: Iterable[Enum], cell: Mapping[Any, Enum]) -> list[str]:
+def _cell(found: Any) -> str:
+    """A state, or a state and what is done."""
+    if isinstance(found, tuple):
+        after, act = found
+        return f"{after.name.lower()}: {act.value}"
+    return str(found.name.lower())
+
+
+def _grid(rows: Iterable[Enum], columns: Iterable[Enum], cell: Mapping[Any, Any]) -> list[str]:
     columns = list(columns)
     lines = ["| | " + " | ".join(str(x.value) for x in columns) + " |", "| --- " * (len(columns) + 1) + "|"]
     for row in rows:
-        cells = (cell[row, x].name.lower() if (row, x) in cell else "-" for x in columns)
+        cells = (_cell(cell[row, x]) if (row, x) in cell else "-" for x in columns)
         lines.append(f"| **{row.name.lower()}** {row.value} | " + " | ".join(cells) + " |")
     return lines
 
@@ -45,6 +53,26 @@
         *_grid(witness.Stands, witness.Event, witness.NEXT),
         *_reasons(witness.UNREACHABLE),
         "",
+        "## A voter of a duty (`core/fleet/register.py`)",
+        "",
+        *_grid(register.Voter, register.Event, register.NEXT),
+        *_reasons(register.UNREACHABLE),
+        "",
+        "## A candidate and owner of a duty (`core/fleet/register.py`)",
+        "",
+        *_grid(register.Stage, register.Step, register.STAGES),
+        *_reasons(register.STAGES_UNREACHABLE),
+        "",
+        "## An edition of a region's routing part (`core/fleet/editions.py`)",
+        "",
+        *_grid(editions.Stage, editions.Event, editions.NEXT),
+        *_reasons(editions.UNREACHABLE),
+        "",
+        "## What is known by its digest (`core/fleet/parts.py`)",
+        "",
+        *_grid(parts.Stage, parts.Event, parts.NEXT),
+        *_reasons(parts.UNREACHABLE),
+        "",
         "## How a gateway comes back (`core/fleet/recovery.py`)",
         "",
         *_grid(recovery.Phase, recovery.Event, recovery.NEXT),
