Priority lanes: the fleet sheds new sessions as one, and who pays more feels it last

Need: when hosts can't carry what is asked, each gateway turned away by its own view, so that a premium account was refused at one while a free viewer got in at the next.

--- a/otterglade/core/desk.py
+++ b/otterglade/core/desk.py
@@ -12,6 +12,7 @@
 
 from . import interface as api
 from .attempts import Entry, Fate, Settled
+from .fleet.lanes import Shed
 from .fleet.recovery import Returns
 from .held import Held, Phase
 from .messages import (
@@ -48,6 +49,10 @@
         """Sessions that were open at a kill and are being found out, with who asks for them meanwhile."""
         self.returns: Returns | None = None
         """How far this gateway has come back, where it has peers."""
+        self.shed: Shed | None = None
+        """Whom the fleet turns away while hosts can't carry what is asked, where the script has lanes."""
+        self._room_gone = False
+        """What ends now leaves no room behind: its host is lost."""
 
     def start(self, now: float) -> list[Order]:
         self._begin(now)
@@ -84,13 +89,53 @@
         return self._done()
 
     def _turned_away(self, ask: Ask) -> Refused | None:
-        """While a fleet comes back, those who had no session go behind those who had."""
-        if self.returns is None:
-            return None
-        paid = self.settings.classes[ask.key[1]].effect is not api.Effect.SAFE
-        away = self.returns.away(self.now, paid, self.settings.max_retry_after)
+        """While a fleet comes back, those who had no session go behind those who had; while it sheds, new
+        sessions are turned away by lane. Who has one, or may have, does not come here."""
+        away = None
+        if self.returns is not None:
+            paid = self.settings.classes[ask.key[1]].effect is not api.Effect.SAFE
+            away = self.returns.away(self.now, paid, self.settings.max_retry_after)
+        if away is None and self.shed is not None and ask.key[2] in self.catalogue:
+            away = self.shed.away(self.now, ask.key[0])
         return None if away is None else Refused(*away)
 
+    # What the lanes are told of sessions: by key, as a move or a new set-up in place of one is no new session
+
+    def _take(self, ask: Ask, patience: float, replaces: Held | None) -> None:
+        if self.shed is not None and replaces is None and ask.key[2] in self.catalogue:
+            self.shed.took(self.now, ask.key)
+        super()._take(ask, patience, replaces)
+
+    def _plays(self, held: Held, attempt: int, took: float, load: api.Load | None) -> None:
+        super()._plays(held, attempt, took, load)
+        self._booked(held)
+
+    def _booked(self, held: Held) -> None:
+        if self.shed is not None and self.by_key.get(held.key) is held:
+            self.shed.took(self.now, held.key)
+
+    def _conclude(self, held: Held, verdict: Refused | Failed) -> None:
+        refused = isinstance(verdict, Refused) and held.replaces is None
+        # Where the title's seats are taken hosts have room all the same: no sign.
+        if self.shed is not None and refused and not self._seats_taken(held.key, held):
+            self.shed.refused(self.now, held.key)
+        super()._conclude(held, verdict)
+
+    def _seats_taken(self, key: Key, but: Held | None = None) -> bool:
+        seats = self.settings.classes[key[1]].seats
+        return bool(seats) and sum(x.key[1:] == key[1:] and x is not but for x in self.held.values()) >= seats
+
+    def _lose(self, server: int, cause: str) -> None:
+        self._room_gone = True
+        super()._lose(server, cause)
+        self._room_gone = False
+
+    def _forget(self, held: Held) -> None:
+        played = held.phase is Phase.PLAYING and not self._room_gone
+        super()._forget(held)
+        if self.shed is not None and held.key not in self.by_key:
+            self.shed.ended(self.now, held.key, played)
+
     def resume(self, now: float, ask: Ask, entry: Entry) -> list[Order]:
         """A viewer comes with the signed address of a session that is not known here.
 
@@ -257,8 +302,7 @@
         it could be."""
         place = self.catalogue.get(entry.key[2])
         terms = self.settings.classes[entry.key[1]]
-        alike = [x for x in self.held.values() if x.key[1:] == entry.key[1:]]
-        full = bool(terms.seats) and len(alike) >= terms.seats
+        full = self._seats_taken(entry.key)
         if place is None or entry.server not in self.entries or entry.key in self.by_key or full:
             self._say("warning", "not_adopted", setup=entry.setup, server=entry.server, seats_taken=full)
             return False
@@ -270,6 +314,7 @@
         held.seen = entry.fate is Fate.RAN
         self.held[held.number] = self.by_key[held.key] = held
         self.at.setdefault(held.server, {})[held.number] = held
+        self._booked(held)
         request = api.SessionRequest(
             held.number, entry.key[1], 0, entry.key[2], 0.0, None, place.home, place.holders, entry.top
         )
