A gateway's restart makes nobody else stand aside for good

Checked with two Members and no sockets: a restarted gateway knows others' boots from its disk and none of their runs; to a datagram meant for its earlier run its HELLO told the sender his own boot, which he took for another process with his name. Wrong line: members._hello, known. Change: a boot as high as the sender's own is told only by one that knows another run of it, or to one that is starting itself.

--- a/otterglade/core/fleet/members.py
+++ b/otterglade/core/fleet/members.py
@@ -351,7 +351,12 @@
             return []
         peer.hello = now
         self._numbers += 1
-        known = peer.known if peer.known >= message.boot and peer.run != message.run else 0
+        # A boot as high as its own tells a sender that another process has its name. Of whom no run is known
+        # here, only its boot from an earlier run's disk, that would be its own boot told back to it: it would
+        # stand aside for good, because somebody else was restarted. One that does not know this run yet is
+        # starting itself, and asks with that boot whether it was used.
+        another = (peer.run or not message.to_run) and peer.run != message.run
+        known = peer.known if peer.known > message.boot or (peer.known == message.boot and another) else 0
         return [
             Message(
                 Kind.HELLO, self.name, self.boot, self.turn, self.run, self._numbers, peer.name, message.run,
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -254,3 +254,20 @@
     assert [seen.take(x) for x in (1, 3, 2, 2, 3, 100, 36, 37, 37, 0)] == [
         True, True, True, False, False, True, False, True, False, False,
     ]  # fmt: skip
+
+
+def test_a_gateways_restart_makes_nobody_else_stand_aside() -> None:
+    """What was meant for its earlier run reaches the new one first, which knows boots from its disk alone."""
+    a, b, now = Members("a", 1, "ra", ("a", "b"), 0.0, 1), Members("b", 1, "rb", ("a", "b"), 0.0, 2), 0.0
+    while not (a.peers["b"].run and b.peers["a"].run):
+        now += 0.25
+        queue = [*a.tick(now), *b.tick(now)]
+        while queue:
+            message = queue.pop(0)
+            queue += (a if message.to == "a" else b).received(now, message).answers
+    again = Members("b", 2, "rb2", ("a", "b"), now, 3, floors={"a": 1})
+    answers = again.received(now, a.message(Kind.PING, "b", now, question=99)).answers
+    assert answers and answers[0].kind is Kind.HELLO
+    for answer in answers:
+        a.received(now, answer)
+    assert a.behind == 0
