--- a/otterglade/cli/main.py
+++ b/otterglade/cli/main.py
@@ -8,13 +8,17 @@
 import sys
 import threading
 import time
+from collections.abc import Iterable
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any, NoReturn
 
 import click
 
 from ..config.script import ConfigError, read
 
+if TYPE_CHECKING:
+    from ..explore.search import Found
+
 
 def _ready(**fields: Any) -> None:
     """The one line on standard output that says a process is ready."""
@@ -70,9 +74,10 @@
     if plant:
         from ..lab import plants
 
-        if plant not in plants.NAMES:
-            raise click.ClickException(f"--plant: found {plant!r}; known are {', '.join(plants.NAMES)}")
-        plants.plant(gateway, plant)
+        for name in plant.split(","):
+            if name not in plants.NAMES:
+                raise click.ClickException(f"--plant: found {name!r}; known are {', '.join(plants.NAMES)}")
+            plants.plant(gateway, name)
     asked = _signals()
     try:
         gateway.start()
@@ -106,18 +111,67 @@
         log.info("reloaded", changed=changed)
 
 
+class _Unread(click.ClickException):
+    """A script, or a set of them, that can't be judged."""
+
+    exit_code = 2
+
+
 @main.command()
-@click.argument("file", type=click.Path(path_type=Path))
-def check(file: Path) -> None:
-    """Check the configuration script FILE."""
-    try:
-        config = read(file)
-    except ConfigError as error:
-        raise click.ClickException(str(error)) from error
-    click.echo(
-        f"{file}: good: {config.site.name}, {len(config.classes)} classes, {len(config.titles)} titles,"
-        f" {len(config.site.ladder)} rungs"
-    )
+@click.argument("files", nargs=-1, required=True, type=click.Path(path_type=Path))
+@click.option(
+    "--proposed", multiple=True, type=click.Path(path_type=Path),
+    help="A region's new script, to be rolled out where the others act; may be given several times.",
+)  # fmt: skip
+@click.option("--json", "as_json", is_flag=True, help="One line of JSON, with conflicts and order.")
+def check(files: tuple[Path, ...], proposed: tuple[Path, ...], as_json: bool) -> None:
+    """Check the configuration script FILE, or several that act together; exit 1 where they conflict.
+
+    With --proposed: an order of regions in which no mix of old and new conflicts; exit 1 where there is none.
+    Exit 2 where one of several scripts can't be read. See docs/design-routes.md for the kinds of conflicts.
+    """
+    from ..core.fleet import planner
+    from ..core.fleet.conflicts import conflicts, told_alone
+
+    alone = len(files) == 1 and not proposed
+    configs, unread = {}, []
+    for file in (*files, *proposed):
+        try:
+            configs[file] = read(file)
+        except ConfigError as error:
+            unread.append(str(error))
+    if unread:
+        raise (click.ClickException if alone and not as_json else _Unread)("\n".join(unread))
+    acting = [configs[x].routing() for x in files]
+    order: tuple[str, ...] | None = None
+    more: dict[str, Any] = {}
+    if proposed:
+        try:
+            plan = planner.plan_of(acting, [configs[x].routing() for x in proposed])
+        except ValueError as error:
+            raise _Unread(f"--proposed: {error}") from error
+        order, found, said = plan.order, [*plan.conflicts, *plan.remaining], plan.told()
+        if order is None:
+            more = {"together": plan.together, "steps": plan.steps, "settled": plan.settled}
+    elif alone:
+        config = configs[files[0]]
+        found = told_alone(acting[0])
+        counts = (
+            f"{len(config.classes)} classes, {len(config.titles)} titles, {len(config.site.ladder)} rungs"
+        )
+        said = f"{files[0]}: {'read' if found else 'good'}: {config.site.name}, {counts}"
+    else:
+        found = conflicts(acting)
+        said = f"{len(files)} scripts that act together: {len(found) or 'no'} conflicts"
+    if as_json:
+        import msgspec
+
+        click.echo(msgspec.json.encode({"conflicts": found, "order": order, **more}).decode())
+    else:
+        for conflict in found:
+            click.echo(conflict.told())
+        click.echo(said)
+    sys.exit(1 if found or (proposed and order is None) else 0)
 
 
 @main.command()
@@ -143,7 +197,7 @@
 @click.option("--seed", type=int, default=1, show_default=True)
 @click.option("--json", "as_json", is_flag=True, help="End with one line of JSON.")
 @click.option("--keep", type=click.Path(path_type=Path), help="Keep records and logs in this folder.")
-@click.option("--gateways", type=click.IntRange(1, 16), help="Of a built-in scenario; 2 if not given.")
+@click.option("--gateways", type=click.IntRange(1, 400), help="Of a built-in scenario; 2, or 5.")
 @click.option("--plant", default="", hidden=True)
 def day(
     scenario: str, day_file: Path | None, seconds: float | None, seed: int, as_json: bool, keep: Path | None,
@@ -168,7 +222,7 @@
     click.echo(days.table(plan, played.verdict))
     if played.records is not None:
         click.echo(f"records: {played.records}")
-    if as_json:
+    if as_json or plan.layout.voters:
         said = days.summary(plan, played.verdict)
         click.echo(json.dumps(said | {"records": str(played.records) if played.records else None}))
     sys.exit(1 if played.verdict.findings else 0)
@@ -180,7 +234,7 @@
 @click.option("--count", type=click.IntRange(min=1), default=30, show_default=True)
 @click.option("--at-once", type=click.IntRange(1, 8), default=3, show_default=True)
 @click.option("--seconds", type=click.FloatRange(min=2.0), help="Length of each day; 60 for a built-in one.")
-@click.option("--gateways", type=click.IntRange(1, 16), help="Of a built-in scenario; 2 if not given.")
+@click.option("--gateways", type=click.IntRange(1, 400), help="Of a built-in scenario; 2, or 5.")
 def days(
     scenario: str, first: int, count: int, at_once: int, seconds: float | None, gateways: int | None
 ) -> None:
@@ -194,6 +248,10 @@
             f"seed {played.seed}: {verdict.requests} requests, {verdict.further} further attempts,"
             f" service {verdict.service:.3f}: {'kept' if not verdict.findings else played.records}"
         )
+        if verdict.figures:
+            click.echo(f"  {json.dumps(verdict.figures)}")
+        for remark in verdict.remarks:
+            click.echo(f"  not carried out: {remark}")
         for finding in verdict.findings:
             click.echo(f"  broken: {finding.rule}: {finding.what}")
 
@@ -244,34 +302,38 @@
 @click.option("--workers", type=click.IntRange(1, 64), default=4, show_default=True)
 @click.option("--walk", type=click.IntRange(min=1), help="Random walks of so many steps in all, by --seed.")
 @click.option("--seed", type=int, default=1, show_default=True)
-@click.option("--replay", type=click.Path(path_type=Path), help="Play a story's file against the code.")
+@click.option(
+    "--replay",
+    type=click.Path(path_type=Path),
+    help="Play a story's file against the code; of threads, a SUBJECT:SCHEDULE.",
+)
 @click.option("--save", type=click.Path(path_type=Path), help="Write the story that was found to a file.")
+@click.option("--subject", help="Of threads: this one alone.")
+@click.option("--preemptions", type=click.IntRange(min=0), help="Of threads: at most, in a schedule.")
 def explore(
     bounds: tuple[str, ...], seconds: float, states: int, workers: int, walk: int | None, seed: int,
-    replay: Path | None, save: Path | None,
+    replay: Path | None, save: Path | None, subject: str | None, preemptions: int | None,
 ) -> None:  # fmt: skip
     """Try every order in which things can happen in a small world around the real core; exit 1 if one breaks.
 
     BOUNDS are NAME=NUMBER, such as hosts=3 gateways=2 kills=1; see docs/design-explore.md. A story saved
-    under tests/stories/ is a regression test from then on.
+    under tests/stories/ is a regression test from then on. Where the first word is `duties`, the world is
+    that of who owns a duty, and its bounds are others. Where it is `threads`, every schedule of a few threads
+    of the daemon is played; see docs/design-interleave.md.
     """
+    if bounds == ("threads",):
+        _threads(subject, None if replay is None else str(replay), preemptions)
+    if subject is not None or preemptions is not None:
+        raise click.ClickException("--subject, --preemptions: allowed: with explore threads")
+    if bounds[:1] == ("duties",):
+        _explore_duties(bounds[1:], seconds, states, workers, walk, seed, replay, save)
     from ..explore import search, story
     from ..explore.world import Scope
 
     if replay is not None:
         _replayed(replay)
         return
-    given: dict[str, int] = {}
-    for bound in bounds:
-        name, _, number = bound.partition("=")
-        if name not in Scope.__dataclass_fields__ or not (number.isascii() and number.isdigit()):
-            known = ", ".join(Scope.__dataclass_fields__)
-            raise click.ClickException(f"bounds: found {bound!r}; allowed: NAME=NUMBER of {known}")
-        given[name] = int(number)
-    for name in ("hosts", "gateways", "viewers", "attempts"):
-        if given.get(name, 1) < 1:
-            raise click.ClickException(f"{name}: found 0; allowed: 1 and more")
-    scope = Scope(**given)
+    scope = Scope(**_bounds(bounds, Scope.__dataclass_fields__, ("hosts", "gateways", "viewers", "attempts")))
     if walk is not None:
         found = search.walk(scope, seed, walk)
     else:
@@ -281,6 +343,42 @@
         if save is not None:
             story.save(save, story.of(scope, found.story, found.broken, found.what))
             click.echo(f"saved: {save}")
+    _counted(found)
+
+
+def _threads(subject: str | None, replay: str | None, preemptions: int | None) -> NoReturn:
+    from ..interleave import report
+
+    try:
+        if replay is not None:
+            fault, told = report.replayed(replay)
+            click.echo("\n".join([*told, f"broken: {fault}" if fault else "nothing breaks"]))
+            sys.exit(1 if fault else 0)
+        subjects = report.SUBJECTS if subject is None else [report.chosen(subject)]
+        results = report.explored(subjects, preemptions, lambda x: click.echo("\n".join(x.lines())))
+    except report.ScheduleError as error:
+        raise click.ClickException(str(error)) from error
+    click.echo(f"{sum(x.found.schedules for x in results)} schedules of {len(results)} subjects")
+    click.echo(report.verdict(results))
+    sys.exit(1 if any(x.found.fault for x in results) else 0)
+
+
+def _bounds(given: tuple[str, ...], known: Iterable[str], positive: tuple[str, ...]) -> dict[str, int]:
+    """A scope's fields as they are written on the command line."""
+    found: dict[str, int] = {}
+    for bound in given:
+        name, _, number = bound.partition("=")
+        if name not in known or not (number.isascii() and number.isdigit()):
+            raise click.ClickException(f"bounds: found {bound!r}; allowed: NAME=NUMBER of {', '.join(known)}")
+        found[name] = int(number)
+    for name in positive:
+        if found.get(name, 1) < 1:
+            raise click.ClickException(f"{name}: found 0; allowed: 1 and more")
+    return found
+
+
+def _counted(found: Found) -> NoReturn:
+    """What a search came to; ends the process."""
     counted = f"{found.states} states, {found.steps} steps, depth {found.depth}, {found.seconds:.1f} s"
     click.echo(", ".join(f"{x} {y}" for x, y in sorted(found.acts.items())))
     bound = f"not complete, met its bound: {found.bound}"
@@ -289,6 +387,41 @@
     sys.exit(1 if found.broken else 0)
 
 
+def _explore_duties(
+    bounds: tuple[str, ...], seconds: float, states: int, workers: int, walk: int | None, seed: int,
+    replay: Path | None, save: Path | None,
+) -> NoReturn:  # fmt: skip
+    """`explore duties`: who owns a duty, and whose orders are obeyed."""
+    from ..explore import duties, duty_search
+    from ..explore.story import StoryError
+
+    if replay is not None:
+        try:
+            scope, acts, seed = duty_search.load(replay)
+            error = duty_search.play(scope, acts, seed)[1]
+        except (StoryError, ValueError) as trouble:
+            raise click.ClickException(str(trouble)) from trouble
+        click.echo(duty_search.told(scope, acts, seed))
+        click.echo(f"broken: {error}" if error else "no property breaks")
+        sys.exit(1 if error else 0)
+    fields = duties.Scope.__dataclass_fields__
+    scope = duties.Scope(**_bounds(bounds, fields, ("voters", "gateways", "horizon", "fan_out")))
+    if scope.voters > scope.gateways or scope.gateways > len(duties.NAMES):
+        allowed = f"as many gateways as voters or more, {len(duties.NAMES)} at most"
+        raise click.ClickException(f"gateways: found {scope.gateways}; allowed: {allowed}")
+    if walk is not None:
+        found = duty_search.walk(scope, seed, walk, workers=workers)
+    else:
+        found = duty_search.explore(scope, most=states, seconds=seconds, workers=workers)
+    if found.broken:
+        acts = duty_search.shrunk(scope, found.story, found.seed, found.broken)
+        click.echo(duty_search.told(scope, acts, found.seed))
+        if save is not None:
+            duty_search.save(save, scope, acts, found.seed, found.broken, found.what)
+            click.echo(f"saved: {save}")
+    _counted(found)
+
+
 def _replayed(path: Path) -> None:
     from ..explore import story
 
--- a/otterglade/gateway/daemon.py
+++ b/otterglade/gateway/daemon.py
@@ -20,8 +20,11 @@
 from ..core import interface as api
 from ..core import messages as d
 from ..core.desk import Desk
+from ..core.fleet.lanes import Shed
 from ..core.fleet.recovery import Event as Returned
 from ..core.fleet.recovery import Start
+from ..core.fleet.router import Router
+from ..core.fleet.routing import Region
 from ..core.fleet.trust import Thing, keeps
 from ..core.policy import Controller
 from ..core.sessions import Decider
@@ -54,6 +57,10 @@
 in small portions, beside which a set-up is not held up."""
 KEPT_EVERY = 5
 """Sweeps between two snapshots of what a restart needs."""
+HAND_OVER = 1.0
+"""Seconds that a stop waits for its duties to have gone over: a round of messages and syncs, some times."""
+STATUS = 0.5
+"""Seconds for which the status waits for what the loop alone can tell; it goes out without, after."""
 FULL = http1.response(
     503, [(b"Retry-After", b"1"), (b"Content-Type", b"text/plain")], b"too many connections\n",
     keep_alive=False,
@@ -128,6 +135,14 @@
             ),
             {x.name: d.Place(x.home, x.holders) for x in config.titles}, self._recorder,
         )  # fmt: skip
+        router = None
+        if config.region is not None:
+            self.desk.router = router = Router(settings, [x.name for x in config.classes])
+            router.stay(config.routing().region or Region(name="", zones=()))
+        if config.lanes and isinstance(self.desk.controller, Controller):
+            self.desk.shed = Shed.of(
+                config.routing().lanes, settings, self.desk.controller, time.monotonic(), self._seed + 3
+            )
         self.loop = Loop(self.desk, self._carry, self._loop_failed)
         self.hosts = HostClient(
             gateway=config.gateway.name, epoch=self.epoch, classes=tuple(x.name for x in config.classes),
@@ -148,6 +163,8 @@
                 seed=self._seed + 2, unsure_for=self.desk.terms.unsure_for, loop=lambda: self.loop,
                 polled=self.journal.polled, settled=lambda: not self.journal.recovery.open,
                 epochs=self.hosts.epochs, log=self.log, on_failure=self._failed, disk=disk,
+                works=[x for x in (self.desk.shed,) if x is not None],
+                routing=config.routing(), router=router,
             )  # fmt: skip
         self.front = Front(
             offer=Offer(
@@ -229,6 +246,8 @@
         self.log.info("stopping", waiting=self.front.waiting, playing=len(self.sessions.live))
         self.front.stopping, self.phase = True, "stopping"
         self.listener.stop_accepting()
+        if self.peers is not None and not self.peers.hand_over(HAND_OVER):
+            self.log.warning("duties_not_handed_over", waited=HAND_OVER)
         self.registry.stop()
         while self.front.waiting and time.monotonic() < deadline:
             time.sleep(0.01)
@@ -247,6 +266,12 @@
         self.listener.abort_all()  # idle keep-alive connections: their players connect elsewhere
         if self._recorder is not None:
             self._recorder.close()
+        # The folder is another run's from the lock's release on: by then the loop hands nothing more to any
+        # thread, and the logs' threads have written.
+        if not self.loop.closed(max(1.0, deadline - time.monotonic())):
+            self.log.warning("loop_not_ended")
+        if not self.journal.closed(max(1.0, deadline - time.monotonic())):
+            self.log.warning("store_not_closed")
         if self.peers is not None:
             self.peers.closed(max(1.0, deadline - time.monotonic()))
         self.phase = "stopped"
@@ -263,7 +288,7 @@
         if stuck:
             raise ValueError(f"these need a restart: {', '.join(stuck)}")
         changed = [x for x in IN_SERVICE if getattr(config, x) != getattr(self.config, x)]
-        limits = config.limits
+        limits, routing = config.limits, config.routing()
         self.config = config
         self._times = Timeouts(idle=limits.idle, head=limits.head, body=limits.head, send=limits.send)
         self.listener.budget = limits.connections
@@ -275,6 +300,10 @@
 
         def tell(desk: Desk, now: float) -> list[d.Order]:
             desk.terms = replace(desk.terms, margin=limits.margin, sessions=limits.sessions)
+            if self.peers is not None:
+                self.peers.propose(now, routing)
+            if desk.shed is not None and "lanes" in changed:
+                desk.shed.reload(now, routing.lanes)
             return []
 
         self.loop.put(tell)
@@ -306,12 +335,33 @@
             "pauses": self.loop.pauses,
             "registry_age_s": None if last is None else round(time.monotonic() - last, 3),
             **({} if self.peers is None else {"fleet": self.peers.status()}),
+            **self._lanes(),
+            **(
+                {}
+                if self.peers is None or self.peers.routes is None
+                else {"routes": self.peers.routes.status(time.monotonic())}
+            ),
             "hosts": {
                 x.listed.name: {"state": x.listed.state, "playing": len(self.desk.at.get(number, ()))}
                 for number, x in self.hosts.hosts.items()
             },
         }
 
+    def _lanes(self) -> dict[str, object]:
+        """What the lanes tell of themselves: on the loop, as they step on when they are asked."""
+        told, done = dict[str, object](), threading.Event()
+
+        def tell(desk: Desk, now: float) -> list[d.Order]:
+            if desk.shed is not None:
+                told["lanes"] = desk.shed.status(now)
+            done.set()
+            return []
+
+        if self.desk.shed is not None:
+            self.loop.put(tell)
+            done.wait(STATUS)
+        return told
+
     # Parts told of each other
 
     def _client(self, server: int) -> Client | None:
--- /dev/null
+++ b/otterglade/gateway/duties.py
@@ -0,0 +1,149 @@
+"""What duties have this gateway do, told to its log: each order that it obeys, renews, or is left without;
+and the routing parts that it keeps on disk.
+
+Lines of the level debug carry the machine's monotonic time, so that whoever judges several gateways on one
+machine can tell which order was in force where and when.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Callable, Sequence
+from pathlib import Path
+
+import msgspec
+
+from ..core.fleet.duty import Fence
+from ..core.fleet.editions import Book, EditionsError
+from ..core.fleet.register import Record
+from ..core.fleet.routes import Routes
+from ..core.fleet.work import Order, Work
+from ..net.threads import Failure
+from ..net.workers import Workers
+from ..obs.logs import Log
+from ..store.small import replace_file
+
+
+def digest(state: bytes) -> str:
+    """A state in few characters, for logs."""
+    return hashlib.blake2b(state, digest_size=6).hexdigest()
+
+
+def note_vote(log: Log, now: float, record: bytes) -> None:
+    """What this gateway writes as a voter, before it is durable."""
+    found = msgspec.msgpack.decode(record, type=Record | Fence)
+    if isinstance(found, Record) and found.held is not None:
+        held = found.held
+        log.debug(
+            "accepted", t=now, duty=found.duty, term=held.term, number=held.number, owner=held.owner,
+            state=digest(held.state),
+        )  # fmt: skip
+
+
+class Noted:
+    """A work, with what it is told noted."""
+
+    def __init__(self, inner: Work, log: Log) -> None:
+        self.inner, self.name, self.lasting, self._log = inner, inner.name, inner.lasting, log
+        self._owner: tuple[str, int] = ("", 0)
+        """And its term; of the last order."""
+
+    def own(self, now: float) -> bytes:
+        return self.inner.own(now)
+
+    def join(self, parts: Sequence[bytes]) -> bytes:
+        return self.inner.join(parts)
+
+    def decide(self, now: float, state: bytes, told: bytes) -> bytes:
+        return self.inner.decide(now, state, told)
+
+    def obey(self, now: float, order: Order) -> None:
+        if (order.owner, order.term) != self._owner:
+            self._owner = order.owner, order.term
+            self._log.info("duty", duty=self.name, owner=order.owner, term=order.term, why="its order holds")
+        self._log.debug(
+            "obeyed", t=now, duty=self.name, term=order.term, number=order.number, owner=order.owner,
+            until=order.until, state=digest(order.state),
+        )  # fmt: skip
+        self.inner.obey(now, order)
+
+    def lapsed(self, now: float) -> None:
+        self._log.warning("duty", duty=self.name, owner="", term=self._owner[1], why="no order holds")
+        self._log.debug("lapsed", t=now, duty=self.name, term=self._owner[1])
+        self._owner = ("", self._owner[1])
+        self.inner.lapsed(now)
+
+    def recall(self, now: float, order: Order) -> None:
+        self._log.info(
+            "duty", duty=self.name, owner=order.owner, term=order.term, why="obeyed before the start"
+        )
+        self.inner.recall(now, order)
+
+
+class NotedRoutes(Noted):
+    """The work `routes`, with what each order admits noted beside."""
+
+    def __init__(self, inner: Routes, log: Log) -> None:
+        super().__init__(inner, log)
+        self._state = b""
+
+    def obey(self, now: float, order: Order) -> None:
+        if order.state != self._state:
+            self._state = order.state
+            self._log.debug("admitted", t=now, term=order.term, number=order.number, may=_may(order.state))
+        super().obey(now, order)
+
+
+def _may(state: bytes) -> list[str] | None:
+    """Digests of the editions that may be acted on anywhere; None: the state can't be read."""
+    try:
+        return [x.hex() for _, x in Book.unpack(state).acted_on()]
+    except EditionsError:
+        return None
+
+
+class PartStore:
+    """Routing parts on disk, a file each, by digest. Written and read whole; never on the loop."""
+
+    def __init__(self, folder: Path, log: Log, on_failure: Failure) -> None:
+        self._folder, self._log = folder, log
+        self._jobs = Workers("parts", 1, on_failure)
+
+    def load(self) -> list[bytes]:
+        """What an earlier run kept; a part that can't be read is fetched again where it is of use."""
+        found = []
+        for path in sorted(self._folder.glob("*.part")):
+            try:
+                found.append(path.read_bytes())
+            except OSError as error:
+                self._log.warning("routes_part_unusable", part=path.name, cause=str(error))
+        return found
+
+    def keep(self, digest: str, data: bytes, stored: Callable[[str, str], None]) -> None:
+        """Make it durable, then tell `stored` the digest and what went wrong, if anything."""
+
+        def write() -> None:
+            try:
+                self._folder.mkdir(exist_ok=True)
+                replace_file(self._folder / f"{digest}.part", data)
+            except OSError as error:
+                stored(digest, str(error))
+            else:
+                stored(digest, "")
+
+        self._jobs.submit(write)
+
+    def drop(self, digest: str) -> None:
+        """After what was handed in before; a file that stays is read at the next start, and dropped then."""
+
+        def remove() -> None:
+            try:
+                self._folder.joinpath(f"{digest}.part").unlink(missing_ok=True)
+            except OSError as error:
+                self._log.warning("routes_part_not_dropped", part=digest, cause=str(error))
+
+        self._jobs.submit(remove)
+
+    def closed(self, limit: float) -> None:
+        """Wait until what was handed in is done."""
+        self._jobs.wait_idle(limit)
--- a/otterglade/gateway/lifecycle.py
+++ b/otterglade/gateway/lifecycle.py
@@ -53,7 +53,7 @@
     gc.set_threshold(20_000, 20, 50)
 
 
-IN_SERVICE = ("limits", "log", "tokens")
+IN_SERVICE = ("limits", "log", "tokens", "lanes", "routes", "accepts")
 """Blocks whose changes take effect without a restart."""
 
 
@@ -62,8 +62,10 @@
     found = []
     for name in Config.__struct_fields__:
         a, b = getattr(old, name), getattr(new, name)
+        if name == "lanes" and bool(a) != bool(b):
+            found.append("priority: the first block, or the last")
         if a == b or name in IN_SERVICE:
             continue
-        fields = getattr(a, "__struct_fields__", ())
+        fields = () if a is None or b is None else getattr(a, "__struct_fields__", ())
         found += [f"{name}.{x}" for x in fields if getattr(a, x) != getattr(b, x)] or [name]
     return found
--- a/otterglade/gateway/peers.py
+++ b/otterglade/gateway/peers.py
@@ -10,8 +10,9 @@
 import socket
 import threading
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from pathlib import Path
+from typing import Any
 
 import msgspec
 
@@ -20,19 +21,26 @@
 from ..core import messages as d
 from ..core.attempts import Entry
 from ..core.desk import Desk
+from ..core.fleet.duty import Duties, DutyError, Voters, Write
 from ..core.fleet.fleet import Fleet, Keep, Out, Polled, Send
 from ..core.fleet.members import Members
 from ..core.fleet.messages import MOST, Message, Seal, SealError
 from ..core.fleet.recovery import Event, Phase, Returns, Start, what_happened
+from ..core.fleet.register import Stage
+from ..core.fleet.router import Router
+from ..core.fleet.routes import Check, Drop, Routes, Store
+from ..core.fleet.routing import Routing
 from ..core.fleet.standing import Standing
 from ..core.fleet.trust import Thing, keeps
 from ..core.fleet.witness import Poll, Witness, WitnessError
+from ..core.fleet.work import Order, Work
 from ..net.threads import Failure, spawn
 from ..net.workers import Workers
 from ..obs.logs import Log as Logger
 from ..store.disk import Disk
 from ..store.log import DamagedError, Log
 from . import identity
+from .duties import Noted, NotedRoutes, PartStore, note_vote
 from .loop import Loop
 
 RATE = 200.0
@@ -72,7 +80,8 @@
         self, config: Peers, *, name: str, run: str, folder: Path, seal: Seal, seed: int, unsure_for: float,
         loop: Callable[[], Loop], polled: Callable[[Desk, float, str], list[d.Order]],
         settled: Callable[[], bool], epochs: Mapping[int, str], log: Logger,
-        on_failure: Failure, disk: Disk | None = None,
+        on_failure: Failure, disk: Disk | None = None, works: Iterable[Work] = (),
+        routing: Routing | None = None, router: Router | None = None,
     ) -> None:  # fmt: skip
         """`polled`: told when an attempt's witnesses have answered. `settled`: whether all that was open at
         the start is found out. `epochs`: of the hosts' present runs. Raises OSError where the address can't
@@ -82,6 +91,12 @@
         self._loop, self._polled, self._logger = loop, polled, log
         self._settled, self._epochs = settled, epochs
         self._on_failure, self._disk = on_failure, disk
+        self.works: list[Work] = [*works]
+        """Of the duties that the script asks for."""
+        self._routing, self._router = routing, router
+        """What the script says of routes, and what acts by what is admitted; None: there are none."""
+        self._store = PartStore(folder / "routes", log, on_failure)
+        self._checks = Workers("conflicts", 1, on_failure)
         self._addresses = {x: address(y, f"peers.members.{x}") for x, y in config.members.items()}
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         try:
@@ -93,13 +108,19 @@
         self._saving = threading.Lock()
         self._witness = Witness(unsure_for, TOKEN_LIFE)
         self._log: Log | None = None
+        self._duty_log: Log | None = None
+        self._handing = False
+        self._handed = threading.Event()
+        """Told to hand over, this gateway owns nothing any more."""
         self._identity = identity.Identity()
         self.fleet: Fleet | None = None
         self.returns: Returns | None = None
         self.ready = threading.Event()
         """Peers are met, or given up."""
         self._sound_at = 0.0
-        self._waiting = 0
+        self._handed_in = self._taken = 0
+        """Datagrams given to the loop, and taken there: each is counted by one thread alone. Of a count that
+        two change some would be lost, and so many lost ones would shut the door for good."""
         self._stopped = False
         self._alarm = float("inf")
         self.received = self.sent = self.sent_bytes = self.flooded = 0
@@ -129,7 +150,9 @@
         except (OSError, DamagedError, WitnessError) as error:
             self._witness.abstains = f"the witness's log can't be used: {error}"
             self._logger.error("witness_unusable", cause=str(error))
-        self._make(now)
+        self._make(now, self._open_duties())
+        if found.forgetful:
+            self._doubt("what it promised may be forgotten")
         self._logger.info(
             "peers_open",
             boot=self._identity.boot,
@@ -137,12 +160,53 @@
             forgetful=found.forgetful,
         )
 
-    def _make(self, now: float) -> None:
+    def _make(self, now: float, votes: Iterable[bytes]) -> None:
+        """`votes`: what the log of duties holds."""
+        config = self._config
         members = Members(
             self._name, self._identity.boot, self._run, self._addresses, now, self._seed +
             self._identity.boot, floors=self._identity.others,
         )  # fmt: skip
-        self.fleet = Fleet(members, self._witness, self._addresses, self._config.witnesses)
+        duties, routes = None, self._make_routes(members, now)
+        if config.voters:
+            works = [Noted(x, self._logger) for x in self.works]
+            if routes is not None:
+                works.append(NotedRoutes(routes, self._logger))
+            voters = Voters(config.voters, config.voters_number, config.voters_before, config.voters_forced)
+            duties = Duties(members, voters, works, now, self._seed + 1)
+            try:
+                duties.restore(votes, now)
+            except DutyError as error:
+                duties.abstains = f"the log of duties can't be used: {error}"
+                self._logger.error("duties_unusable", cause=str(error))
+            if self._duty_log is None:
+                duties.abstains = "its log of duties can't be used"
+        if routes is not None and self._routing is not None:
+            routes.propose(now, self._routing, start=True)
+        self.fleet = Fleet(members, self._witness, self._addresses, config.witnesses, duties, routes)
+
+    def _make_routes(self, members: Members, now: float) -> Routes | None:
+        region = None if self._routing is None else self._routing.region
+        if region is None or self._router is None:
+            return None
+        if not self._config.voters:
+            self._logger.warning("routes_unvoted", region=region.name, cause="peers.voters names nobody")
+            return None
+        routes = Routes(region, members, self._router, now, self._seed + 4)
+        routes.restore(self._store.load())
+        return routes
+
+    def _open_duties(self) -> tuple[bytes, ...]:
+        """What the log of duties holds; without one this gateway can't vote, nor keep what it obeyed."""
+        if not self._config.voters:
+            return ()
+        try:
+            self._folder.joinpath("duties").mkdir(exist_ok=True)
+            self._duty_log, found = Log.open(self._folder / "duties", self._on_failure, disk=self._disk)
+        except (OSError, DamagedError) as error:
+            self._logger.error("duties_unusable", cause=str(error))
+            return ()
+        return (*found.snapshot, *found.records)
 
     def _abstain(self, now: float, why: str) -> None:
         self._witness.abstains = why
@@ -168,17 +232,37 @@
             assert self.fleet is not None, "opened before"
             for message in self.fleet.members.leave(now):
                 self._send(message)
-            if self._log is not None:
-                self._log.close()
+            for log in (self._log, self._duty_log):
+                if log is not None:
+                    log.close()
             self._socket.close()
             return []
 
         self._loop().put(leave)
 
+    def hand_over(self, limit: float) -> bool:
+        """Before a planned stop: duties that are owned here go to another gateway; whether they did in
+        time."""
+
+        def hand(desk: Desk, now: float) -> list[d.Order]:
+            assert self.fleet is not None, "opened before"
+            if self.fleet.duties is None:
+                self._handed.set()
+                return []
+            self._handing = True
+            return self._carry(desk, now, [*self.fleet.duties.hand_over(now)])
+
+        self._loop().put(hand)
+        return self._handed.wait(limit)
+
     def closed(self, limit: float) -> None:
         """Wait until what was to be kept is kept: a run that writes on after its folder is free would put its
         own count in the place of the next one's."""
         self._saves.wait_idle(limit)
+        self._store.closed(limit)
+        for log in (self._log, self._duty_log):
+            if log is not None:
+                log.closed(limit)
 
     # The reading thread
 
@@ -191,7 +275,7 @@
                 if self._stopped:
                     return
                 continue  # a peer's port that is closed, told by the kernel: its silence says the same
-            if not bucket.take(sender, time.monotonic()) or self._waiting >= WAITING:
+            if not bucket.take(sender, time.monotonic()) or self._handed_in - self._taken >= WAITING:
                 self.flooded += 1
                 continue
             try:
@@ -200,12 +284,12 @@
                 self.unsealed[str(error)[:40]] = self.unsealed.get(str(error)[:40], 0) + 1
                 continue
             self.received += 1
-            self._waiting += 1
+            self._handed_in += 1
             self._loop().put(self._taking(message))
 
     def _taking(self, message: Message) -> Callable[[Desk, float], list[d.Order]]:
         def take(desk: Desk, now: float) -> list[d.Order]:
-            self._waiting -= 1
+            self._taken += 1
             assert self.fleet is not None, "opened before"
             return self._carry(desk, now, self.fleet.received(now, message))
 
@@ -229,7 +313,16 @@
                     orders += self._keep(desk, now, one)
                 case Polled(setup):
                     orders += self._polled(desk, now, setup)
+                case Write():
+                    orders += self._vote(desk, now, one)
+                case Store(digest, data):
+                    self._store.keep(digest, data, self._stored)
+                case Drop(digest):
+                    self._store.drop(digest)
+                case Check():
+                    self._check(one)
         self._changed(desk, now)
+        self._duties_changed(now)
         self._alarm_at(now)
         return orders
 
@@ -263,6 +356,88 @@
             self._logger.error("witness_unusable", cause=trouble)
         return self._carry(desk, now, self.fleet.kept(now, keep, trouble))
 
+    def _vote(self, desk: Desk, now: float, write: Write) -> list[d.Order]:
+        """Make a record of duties durable, then tell them."""
+        assert self.fleet is not None and self.fleet.duties is not None, "whose record it is"
+        if self._duty_log is None:
+            out = self.fleet.duties.written(now, write.token, "no log of duties")
+            return self._carry(desk, now, [*out])
+        duties = self.fleet.duties
+
+        def done(error: OSError | None) -> None:
+            trouble = "" if error is None else f"duties can't be recorded: {error}"
+            self._loop().put(lambda desk, now: self._voted(desk, now, duties, write, trouble))
+
+        note_vote(self._logger, now, write.record)
+        self._duty_log.append(write.record, done)
+        if duties.wants_snapshot():
+            self._duty_log.compact(duties.snapshot())
+        return []
+
+    def _voted(self, desk: Desk, now: float, duties: Duties, write: Write, trouble: str) -> list[d.Order]:
+        assert self.fleet is not None, "opened before"
+        if trouble:
+            self._logger.error("duties_unusable", cause=trouble)
+        if duties is not self.fleet.duties:
+            return []  # of the run's first boot, which nobody listened to
+        return self._carry(desk, now, [*duties.written(now, write.token, trouble)])
+
+    def _stored(self, digest: str, trouble: str) -> None:
+        """A routing part is on disk, or can't be; on the store's own thread."""
+
+        def stored(desk: Desk, now: float) -> list[d.Order]:
+            if self.routes is not None:
+                self.routes.stored(now, digest, trouble)
+            return self._carry(desk, now, [])
+
+        self._loop().put(stored)
+
+    def _check(self, check: Check) -> None:
+        """Judge a proposal, off the loop, as it takes its time."""
+
+        def run() -> None:
+            verdict = check.run()
+
+            def checked(desk: Desk, now: float) -> list[d.Order]:
+                if self.routes is not None:
+                    self.routes.checked(now, check.token, verdict)
+                return []
+
+            self._loop().put(checked)
+
+        self._checks.submit(run)
+
+    @property
+    def routes(self) -> Routes | None:
+        """Which edition of the routing part is in force, where the script has a region and voters."""
+        return None if self.fleet is None else self.fleet.routes
+
+    def propose(self, now: float, routing: Routing) -> None:
+        """The script was read again; on the loop."""
+        self._routing = routing
+        if self.routes is not None:
+            self.routes.propose(now, routing)
+
+    def order(self, duty: str, now: float) -> Order | None:
+        """What is in force here of a duty; on the loop."""
+        duties = None if self.fleet is None else self.fleet.duties
+        return None if duties is None else duties.order(duty, now)
+
+    def _duties_changed(self, now: float) -> None:
+        assert self.fleet is not None, "opened before"
+        duties = self.fleet.duties
+        if duties is None:
+            return
+        for line in () if self.routes is None else self.routes.drained():
+            getattr(self._logger, line.level)(line.event, t=now, **dict(line.fields))
+        for turn in duties.drained():
+            self._logger.info("duty_turn", duty=turn.duty, what=turn.what, term=turn.term, why=turn.why)
+        if self._handing and not self._handed.is_set():
+            told: Any = duties.status(now)["duties"]
+            stages = [x["stage"] for x in told.values()]
+            if not self.fleet.members.living() or all(x == Stage.IDLE.value for x in stages):
+                self._handed.set()
+
     def _alarm_at(self, now: float) -> None:
         """Have the loop ring when something is due, if it does not ring before."""
         assert self.fleet is not None, "opened before"
@@ -309,7 +484,7 @@
         empty disk: this start gets a later count, and abstains. After, another process has the name."""
         if members.met:
             if self.returns is not None and self.returns.phase is not Phase.ASIDE:
-                self._logger.error("superseded", boot=members.boot, later=members.behind)
+                self._logger.error("superseded", t=now, boot=members.boot, later=members.behind)
                 self.tell(desk, now, Event.SUPERSEDED)
             return
         before = self._identity
@@ -322,10 +497,23 @@
         self._logger.warning("old_disk", boot=members.boot, known=members.behind)
         if not keeps(Thing.WITNESSED, Start.NEW_DISK):
             self._abstain(now, "its disk is older than its name: what it witnessed may be forgotten")
-        self._make(now)
+        duties = None if self.fleet is None else self.fleet.duties
+        self._make(now, () if duties is None else duties.snapshot())
         assert self.fleet is not None, "just made"
+        if not keeps(Thing.VOTES, Start.NEW_DISK):
+            self._doubt("its disk is older than its name: what it promised may be forgotten")
+            self._sound_at = now + self._unsure_for
         self.fleet.members.phase = members.phase
 
+    def _doubt(self, why: str) -> None:
+        """The disk may have forgotten: no vote on it, and no edition that it recalls, which may have been
+        given up since; until an order is heard."""
+        assert self.fleet is not None, "opened before"
+        if self.fleet.duties is not None:
+            self.fleet.duties.abstains = why
+        if self.fleet.routes is not None:
+            self.fleet.routes.doubt()
+
     def _know(self, members: Members) -> None:
         """Keep the highest boots of others, for the next run."""
         others = {x.name: x.known for x in members.peers.values() if x.known}
@@ -370,6 +558,8 @@
             self._stepped(desk, now)
         if self._sound_at and now >= self._sound_at:
             self._sound_at, self._witness.abstains = 0.0, ""
+            if self.fleet is not None and self.fleet.duties is not None:
+                self.fleet.duties.abstains = ""
             self._identity = msgspec.structs.replace(self._identity, forgetful=False)
             self._save_behind()
         if self.returns.phase is Phase.ATTEMPTS and self._found(desk, now):
@@ -445,6 +635,7 @@
             "received": self.received,
             "flooded": self.flooded,
             "dropped": dict(members.dropped) | dict(self.unsealed),
+            **({} if self.fleet.duties is None else {"duties": self.fleet.duties.status(now)}),
             "peers": {
                 x.name: {
                     "standing": x.standing.value, "since_s": round(now - x.since, 3), "why": x.why,
--- a/otterglade/lab/links.py
+++ b/otterglade/lab/links.py
@@ -83,6 +83,16 @@
             for a, b in itertools.product(some, others):
                 self._faults.cut |= {(a, b), (b, a)}
 
+    def sever(self, pairs: Iterable[tuple[str, str]]) -> None:
+        """Cut these ways, from one to another, beside what is cut already."""
+        with self._lock:
+            self._faults.cut |= {*pairs}
+
+    def mend(self, pairs: Iterable[tuple[str, str]]) -> None:
+        """Let these ways pass again."""
+        with self._lock:
+            self._faults.cut -= {*pairs}
+
     def heal(self) -> None:
         with self._lock:
             self._faults = Faults()
