--- a/otterglade/explore/duty_search.py
+++ b/otterglade/explore/duty_search.py
@@ -226,8 +226,10 @@
         act = draw.choice(acts)
         self._plan(act)
         times = [x for x, _, _ in self._returns if x < math.inf]
-        after: float = draw.choice(BACK[:-1])
-        self._next = draw.choice(times) if times and draw.random() < 0.4 else world.now + after
+        if times and draw.random() < 0.4:
+            self._next = draw.choice(times)
+        else:
+            self._next = world.now + draw.choice(BACK[:-1])
         self._armed = False
         return act
 
