A person's words to the duty of routes: what is admitted all the same, who is gone

Need: one gateway that is gone for good holds older editions back for ever, and what all must agree on (terms, lanes, witnesses) differs while gateways change one by one, so that without a word it could never be admitted; both words had methods and no entrance. Change: peers(routes_forced, routes_forget), read again in service, logged, passed on at the reload. Result: a script that differs in these alone needs no restart, any other field of peers still does, by test.

--- a/otterglade/config/schema.py
+++ b/otterglade/config/schema.py
@@ -221,6 +221,12 @@
     voters_forced: str = ""
     """Why this set stands without the one before it, of which a majority is gone for good: a person's word,
     kept with the duty and in the log; empty: it does not."""
+    routes_forced: str = ""
+    """Why a routing part that was read again is to be admitted whatever it conflicts with: a person's word.
+    What all must agree on (terms, lanes, witnesses) has no other way, as gateways change one by one."""
+    routes_forget: str = ""
+    """Why gateways of this region that are not heard are gone, with the editions that they may act on: a
+    person's word, taken when it is read again and differs from the one before."""
 
 
 class Priority(Block, frozen=True):
--- a/otterglade/gateway/daemon.py
+++ b/otterglade/gateway/daemon.py
@@ -300,8 +300,8 @@
 
         def tell(desk: Desk, now: float) -> list[d.Order]:
             desk.terms = replace(desk.terms, margin=limits.margin, sessions=limits.sessions)
-            if self.peers is not None:
-                self.peers.propose(now, routing)
+            if self.peers is not None and config.peers is not None:
+                self.peers.propose(now, routing, config.peers)
             if desk.shed is not None and "lanes" in changed:
                 desk.shed.reload(now, routing.lanes)
             return []
--- a/otterglade/gateway/lifecycle.py
+++ b/otterglade/gateway/lifecycle.py
@@ -55,6 +55,8 @@
 
 IN_SERVICE = ("limits", "log", "tokens", "lanes", "routes", "accepts")
 """Blocks whose changes take effect without a restart."""
+WORDS = {"peers": ("routes_forced", "routes_forget")}
+"""Fields of other blocks, by block, that are a person's word to a running gateway."""
 
 
 def needs_restart(old: Config, new: Config) -> list[str]:
@@ -67,5 +69,8 @@
         if a == b or name in IN_SERVICE:
             continue
         fields = () if a is None or b is None else getattr(a, "__struct_fields__", ())
-        found += [f"{name}.{x}" for x in fields if getattr(a, x) != getattr(b, x)] or [name]
+        differ = [x for x in fields if getattr(a, x) != getattr(b, x)]
+        if differ and all(x in WORDS.get(name, ()) for x in differ):
+            continue
+        found += [f"{name}.{x}" for x in differ if x not in WORDS.get(name, ())] or [name]
     return found
--- a/otterglade/gateway/peers.py
+++ b/otterglade/gateway/peers.py
@@ -412,11 +412,17 @@
         """Which edition of the routing part is in force, where the script has a region and voters."""
         return None if self.fleet is None else self.fleet.routes
 
-    def propose(self, now: float, routing: Routing) -> None:
+    def propose(self, now: float, routing: Routing, config: Peers) -> None:
         """The script was read again; on the loop."""
         self._routing = routing
-        if self.routes is not None:
-            self.routes.propose(now, routing)
+        gone = config.routes_forget if config.routes_forget != self._config.routes_forget else ""
+        self._config = config
+        if self.routes is None:
+            return
+        if gone:
+            self._logger.warning("routes_forget", why=gone)
+            self.routes.forget_unheard(now)
+        self.routes.propose(now, routing, forced=config.routes_forced)
 
     def order(self, duty: str, now: float) -> Order | None:
         """What is in force here of a duty; on the loop."""
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from otterglade.config.schema import Config
 from otterglade.config.script import parse
 from otterglade.gateway.lifecycle import Lock, needs_restart
 from otterglade.lab.stage import Stage
@@ -66,6 +67,15 @@
     assert gateway.config is before
     assert gateway.listener.budget == 7
     assert needs_restart(parse(text), parse(text.replace("'job-1'", "'job-9'"))) == ["titles"]
+    speaks = _peers(text, "witnesses = 1")
+    word = _peers(text, "witnesses = 1, routes_forget = 'g1 burnt'")
+    assert needs_restart(speaks, word) == [], "a person's word to a running gateway"
+    assert needs_restart(word, _peers(text, "witnesses = 0")) == ["peers.witnesses"]
+
+
+def _peers(text: str, fields: str) -> Config:
+    key = "tokens(keys = {'k': '00112233445566778899aabbccddeeff'}, sign_with = 'k')"
+    return parse(f"{text}{key}\npeers(listen = '127.0.0.1:0', members = {{'g0': '127.0.0.1:1'}}, {fields})\n")
 
 
 @pytest.fixture
