Two simulated fleets share one agenda of simulated time

Need: the mesh of membership and the simulated fleet of lanes each kept its own queue of what happens when, line for line. Change: explore/agenda.py, which both build on.

--- a/otterglade/explore/gossip.py
+++ b/otterglade/explore/gossip.py
@@ -6,14 +6,14 @@
 
 from __future__ import annotations
 
-import heapq
 import itertools
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from ..core.fleet.members import Change, Members, Pace
 from ..core.fleet.messages import Message, Seal
+from .agenda import Agenda
 
 SEAL = Seal({"mesh": b"k" * 32}, "mesh")
 
@@ -44,33 +44,23 @@
     life: int = 0
 
 
-class Mesh:
+class Mesh(Agenda):
     """`run(until)`; between two of them the caller commands links and processes."""
 
     def __init__(
         self, names: Iterable[str], seed: int, links: Links | None = None, pace: Pace | None = None
     ) -> None:
+        super().__init__()
         self.random, self.links, self.pace = random.Random(seed), links or Links(), pace
-        self.now, self.bytes, self.messages = 0.0, 0, 0
+        self.bytes = self.messages = 0
         self.changes: list[tuple[float, str, Change]] = []
         """When, at whom, what."""
         self.tape: list[Message] | None = None
         """Messages that went out, where they are kept."""
-        self._queue: list[tuple[float, int, Callable[[], None]]] = []
-        self._order = itertools.count()
         self.seats = {x: Seat(None, boot=0) for x in names}
         for name in self.seats:
             self.start(name)
 
-    def at(self, when: float, act: Callable[[], None]) -> None:
-        heapq.heappush(self._queue, (when, next(self._order), act))
-
-    def run(self, until: float) -> None:
-        while self._queue and self._queue[0][0] <= until:
-            self.now, _, act = heapq.heappop(self._queue)
-            act()
-        self.now = until
-
     def of(self, name: str) -> Members:
         members = self.seats[name].members
         assert members is not None, f"{name} does not run"
--- a/otterglade/lab/mesh.py
+++ b/otterglade/lab/mesh.py
@@ -10,7 +10,6 @@
 from __future__ import annotations
 
 import bisect
-import heapq
 import itertools
 import math
 import random
@@ -25,6 +24,7 @@
 from ..core.fleet.routing import Lane
 from ..core.fleet.tally import PERIOD, TallyError, decode
 from ..core.fleet.work import Order
+from ..explore.agenda import Agenda
 
 FAN_OUT, HOLD, LEASE, TAKE_OVER = 8, 1.5, 2.0, 1.0
 """Of duties: below one gateway; seconds that an order holds; that an owner is waited for; to settle
@@ -115,11 +115,12 @@
     asks: list[tuple[float, int]] = field(default_factory=list)
 
 
-class Fleet:
+class Fleet(Agenda):
     """`run(until)`; between two of them, or by `at`, the caller commands what happens."""
 
     def __init__(self, spec: Spec, seed: int) -> None:
-        self.spec, self.now = spec, 0.0
+        super().__init__()
+        self.spec = spec
         self.viewers, self.random = random.Random(seed), random.Random(seed + 1)
         self.demand = list(spec.demand)
         self.room = float(spec.room)
@@ -127,8 +128,6 @@
         self.measure_from, self.measure_until = 0.0, math.inf
         """Viewers who come between these count; run on for a while, so that all have their answers."""
         self.playing = [0] * len(spec.lanes)
-        self._queue: list[tuple[float, int, Callable[[], None]]] = []
-        self._order = itertools.count()
         self._number = itertools.count()
         self._full: list[tuple[float, float]] = [(0.0, 0.0)]
         self._recent: list[list[float]] = [[] for _ in spec.lanes]
@@ -149,15 +148,6 @@
             self.at(self.random.random() * PERIOD, lambda seat=seat: self._tick(seat))  # type: ignore[misc]
         self.at(0.0, self._sample)
 
-    def at(self, when: float, act: Callable[[], None]) -> None:
-        heapq.heappush(self._queue, (when, next(self._order), act))
-
-    def run(self, until: float) -> None:
-        while self._queue and self._queue[0][0] <= until:
-            self.now, _, act = heapq.heappop(self._queue)
-            act()
-        self.now = until
-
     def _measured(self, when: float) -> bool:
         return self.measure_from <= when < self.measure_until
 
