--- a/otterglade/gateway/hosts.py
+++ b/otterglade/gateway/hosts.py
@@ -84,8 +84,9 @@
         self.run = f"{gateway}.{epoch}"
         self._loop, self._log, self._on_failure = loop, log, on_failure
         self._connect, self._silence = connect, silence
-        self._setups = Workers("set-up", setups, on_failure)
-        self._chores = Workers("chore", 16, on_failure, pace=PACE)
+        # One thread each is kept: a submit that raised would end the decision loop, which calls it.
+        self._setups = Workers("set-up", setups, on_failure, least=1)
+        self._chores = Workers("chore", 16, on_failure, pace=PACE, least=1)
         self._random = random.Random(seed)
         self.hosts: dict[int, Host] = {}
         self._calls: dict[tuple[int, int], Call] = {}
--- a/otterglade/net/workers.py
+++ b/otterglade/net/workers.py
@@ -16,10 +16,12 @@
     """Runs jobs in the order given, as many at once as it may have threads."""
 
     def __init__(
-        self, name: str, most: int, on_failure: Failure, idle: float = 10.0, pace: float = 0.0
+        self, name: str, most: int, on_failure: Failure, idle: float = 10.0, pace: float = 0.0, least: int = 0
     ) -> None:
         """`most`: threads at once; `idle`: seconds after which one without work ends; `pace`: seconds from a
         job's start to the next, so that a heap of jobs leaves the interpreter to those who wait for it.
+        `least`: threads from the start to the end; with one, `submit` never raises, whatever threads the
+        system has left by then. Raises RuntimeError where it has none now.
         """
         self.pace, self._next = pace, 0.0
         self._name, self.most, self._on_failure, self._idle_limit = name, most, on_failure, idle
@@ -31,6 +33,11 @@
         self._pending = 0
         """Jobs given and not finished."""
         self._empty = threading.Condition(self._lock)
+        self._least = least
+        for _ in range(least):
+            spawn(name, self._work, on_failure)
+            with self._lock:
+                self._threads += 1
 
     @property
     def threads(self) -> int:
@@ -94,6 +101,8 @@
                 job = self._jobs.get(timeout=self._idle_limit)
             except queue.Empty:
                 with self._lock:
+                    if self._threads <= self._least:
+                        continue
                     if self._pending < self._threads:
                         self._threads -= 1
                         return
--- a/tests/test_threads.py
+++ b/tests/test_threads.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from otterglade.net import threads
+from otterglade.net import threads, workers
 from tests.house import BOUND
 
 
@@ -52,3 +52,22 @@
     finally:
         set_size(before)
     assert (after, seen) == (before, {"first": threads.STACK, "second": threads.STACK})
+
+
+def test_a_pool_that_keeps_a_thread_takes_jobs_when_the_system_has_none(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    told: list[str] = []
+    pool = workers.Workers("w", 4, lambda name, error: told.append(str(error)), idle=0.001, least=1)
+
+    def none_left(*_: object) -> None:
+        raise RuntimeError("can't start new thread")
+
+    monkeypatch.setattr(workers, "spawn", none_left)
+    first, second, go_on = threading.Event(), threading.Event(), threading.Event()
+    pool.submit(lambda: (first.set(), go_on.wait(BOUND))[0])
+    assert first.wait(BOUND)
+    pool.submit(second.set)
+    go_on.set()
+    assert second.wait(BOUND) and told == ["can't start new thread"]
+    assert pool.wait_idle(BOUND) and pool.threads == 1
