Lab: ways between two groups are worked out in one place

Need: read once more, Links.part cut both ways between groups by a loop of its own, and the split of a fleet worked out the same pairs again beside sever. Change: both_ways in lab/links.py, used by part, which is sever of them, and by the split. Behaviour is as before.

--- a/otterglade/lab/links.py
+++ b/otterglade/lab/links.py
@@ -37,6 +37,11 @@
     """From, to: nothing passes."""
 
 
+def both_ways(some: Iterable[str], others: Iterable[str]) -> set[tuple[str, str]]:
+    """From each of one group to each of the other, and back."""
+    return {way for a, b in itertools.product(some, others) for way in ((a, b), (b, a))}
+
+
 class Links:
     """One socket for each gateway, to which the others send; passes on to where that one speaks from."""
 
@@ -79,9 +84,7 @@
 
     def part(self, some: Iterable[str], others: Iterable[str]) -> None:
         """Cut between two groups, both ways, beside what is cut already."""
-        with self._lock:
-            for a, b in itertools.product(some, others):
-                self._faults.cut |= {(a, b), (b, a)}
+        self.sever(both_ways(some, others))
 
     def sever(self, pairs: Iterable[tuple[str, str]]) -> None:
         """Cut these ways, from one to another, beside what is cut already."""
--- a/otterglade/lab/troubles.py
+++ b/otterglade/lab/troubles.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass, field
 
 from . import power
+from .links import both_ways
 from .scenarios import Trouble
 from .stage import Process, Stage
 
@@ -161,10 +162,7 @@
             size = len(names) if len(groups) == len(trouble.groups) - 1 else round(share * len(links.members))
             groups.append([names.pop() for _ in range(min(size, len(names)))])
         self.stage.record.write("trouble", kind=trouble.kind, seconds=trouble.seconds, groups=groups)
-        parted = [
-            {way for a in one for b in two for way in ((a, b), (b, a))}
-            for one, two in itertools.combinations(groups, 2)
-        ]
+        parted = [both_ways(one, two) for one, two in itertools.combinations(groups, 2)]
         draw.shuffle(parted)
         for number, pairs in enumerate(parted):
             links.sever(pairs)
