Names of the platform's frontend: Discovery, Frontend, ClientSession, cancelled, draining

Renamed without a change of behaviour: Names is Discovery (service discovery), Door is Frontend, Seat is ClientSession, the orders Turn and Fault are Refuse and Fail, called_off is cancelled, owed is pending_releases, retired is draining, spoilt() is malformed(). Fixed interfaces keep their names.

--- a/benchmarks/node.py
+++ b/benchmarks/node.py
@@ -1,4 +1,4 @@
-"""CPU a set-up and memory a thousand sessions at the platform's door.
+"""CPU a set-up and memory a thousand sessions at the platform's frontend.
 
     python -m benchmarks.node [--quick]
 
--- a/otterglade/core/setups.py
+++ b/otterglade/core/setups.py
@@ -6,7 +6,7 @@
 and until its end is told the attempt counts as out, and the module can send no second one.
 
 A request's life: WAITING (none out) -> OUT -> WAITING ... -> PLAYING -> ended. It is answered by `Serve`,
-`Turn` or `Fault`, once; after that, or once its viewer has gone, nothing is started for it.
+`Refuse` or `Fail`, once; after that, or once its viewer has gone, nothing is started for it.
 """
 
 from __future__ import annotations
@@ -68,7 +68,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Turn:
+class Refuse:
     """The final answer: refused; `come_back`: seconds to stay away, 0: no advice."""
 
     number: int
@@ -76,7 +76,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Fault:
+class Fail:
     """The final answer: failed, with no word on whether a set-up ran."""
 
     number: int
@@ -140,7 +140,7 @@
     text: str
 
 
-Order = Send | GiveUp | Serve | Turn | Fault | Rung | Cut | Release | Move | Over | Ask | AskList | Say
+Order = Send | GiveUp | Serve | Refuse | Fail | Rung | Cut | Release | Move | Over | Ask | AskList | Say
 
 
 @dataclass(slots=True, eq=False)
@@ -340,7 +340,7 @@
             return
         # The module holds a request for a part of its aim only: this guards rule 1 against a lost timer.
         self._orders.append(Say(f"request {number}: its time is up with no answer"))
-        self._finish(number, Fault(number))
+        self._finish(number, Fail(number))
         self._later.append(api.SessionGone(number))
 
     def _attempt_up(self, now: float, number: int, attempt: int) -> None:
@@ -380,9 +380,9 @@
                         if setup.stage is not Stage.WAITING:
                             self._orders.append(Rung(number, setup.host, rung))
                 case api.Refuse(number, come_back):
-                    self._finish(number, Turn(number, come_back))
+                    self._finish(number, Refuse(number, come_back))
                 case api.Fail(number):
-                    self._finish(number, Fault(number))
+                    self._finish(number, Fail(number))
                 case api.MoveSession(number):
                     self._move(now, number)
                 case api.Probe(server):
@@ -412,7 +412,7 @@
             self._timer(now + allowed, number, setup.attempts)
         setup.attempts += 1
 
-    def _finish(self, number: int, order: Turn | Fault) -> None:
+    def _finish(self, number: int, order: Refuse | Fail) -> None:
         setup = self.open.get(number)
         if setup is None or setup.answered or setup.gone:
             return
--- a/otterglade/node/__init__.py
+++ b/otterglade/node/__init__.py
@@ -1,1 +1,1 @@
-"""The platform's door: RTSP with viewers and hosts, its name service, signals; one process, one thread."""
+"""The platform's frontend: RTSP with clients and hosts, discovery, signals; one process, one thread."""
--- a/otterglade/node/names.py
+++ b/otterglade/node/discovery.py
@@ -23,7 +23,7 @@
 """Questions whose answers are still read: an answer may come after the next question."""
 
 
-class Names:
+class Discovery:
     """Asks, and hands on each newer list. `told` gets it; `say` a line for the log."""
 
     def __init__(
--- a/otterglade/node/door.py
+++ b/otterglade/node/frontend.py
@@ -32,12 +32,12 @@
 class Owner(Protocol):
     """Who is told what viewers ask."""
 
-    def asked(self, seat: Seat, request: api.SessionRequest, playing_at: str | None) -> None: ...
-    def left(self, seat: Seat) -> None: ...
+    def asked(self, client: ClientSession, request: api.SessionRequest, playing_at: str | None) -> None: ...
+    def left(self, client: ClientSession) -> None: ...
 
 
 @dataclass(slots=True, eq=False)
-class Seat:
+class ClientSession:
     """A viewer's session, from its set-up on."""
 
     session: bytes
@@ -53,36 +53,36 @@
 class Viewer:
     """One connection."""
 
-    def __init__(self, door: Door, sock: socket.socket) -> None:
-        self.door = door
+    def __init__(self, frontend: Frontend, sock: socket.socket) -> None:
+        self.frontend = frontend
         self.reader = rtsp.Reader()
-        self.open: dict[bytes, Seat] = {}
-        self.standing: dict[bytes, Seat] = {}
+        self.open: dict[bytes, ClientSession] = {}
+        self.standing: dict[bytes, ClientSession] = {}
         self.errors = 0
         self.useful = False
-        self.quiet_since = door.reactor.clock()
-        self.channel = Channel(door.reactor, sock, self)
+        self.quiet_since = frontend.reactor.clock()
+        self.channel = Channel(frontend.reactor, sock, self)
 
     def connected(self) -> None:
         """Newcomers are connected when they come."""
 
     def heard(self, data: bytes) -> bool:
-        self.quiet_since = self.door.reactor.clock()
+        self.quiet_since = self.frontend.reactor.clock()
         try:
             return self.reader.several(data, MESSAGES, self._one)
         except rtsp.RtspError as error:
-            self.door.unreadable(self, str(error))
+            self.frontend.unreadable(self, str(error))
             return False
 
     def _one(self, message: rtsp.Message) -> bool:
-        self.door.message(self, message)
-        return not self.channel.closed and self in self.door.viewers
+        self.frontend.message(self, message)
+        return not self.channel.closed and self in self.frontend.viewers
 
     def ended(self, cause: str) -> None:
-        self.door.ended(self)
+        self.frontend.ended(self)
 
 
-class Door:
+class Frontend:
     """The listening socket and all that came in by it."""
 
     def __init__(
@@ -99,7 +99,7 @@
         self.reactor, self.owner, self.settings = reactor, owner, settings
         self.classes, self.most, self.say = classes, most, say
         self.viewers: dict[Viewer, None] = {}
-        self.seats: dict[bytes, Seat] = {}
+        self.sessions: dict[bytes, ClientSession] = {}
         self._said: set[str] = set()
         """Reasons that are in the log already."""
         self._unsaid: dict[bytes, tuple[bytes, float]] = {}
@@ -140,11 +140,11 @@
         """A connection is no more: its open set-ups are given up, what stands goes on."""
         if self.viewers.pop(viewer, False) is False:
             return
-        for seat in list(viewer.open.values()):
-            seat.viewer = None
-            self.owner.left(seat)
-        for seat in viewer.standing.values():
-            seat.viewer = None
+        for client in list(viewer.open.values()):
+            client.viewer = None
+            self.owner.left(client)
+        for client in viewer.standing.values():
+            client.viewer = None
         viewer.open.clear()
         viewer.standing.clear()
 
@@ -186,10 +186,10 @@
         if message.method == b"SETUP":
             self._set_up(viewer, message)
         elif message.method == b"TEARDOWN":
-            seat = self.seats.get(message.session)
-            if seat is not None:
+            client = self.sessions.get(message.session)
+            if client is not None:
                 viewer.channel.send(messages.answer(200, message))
-                self.owner.left(seat)
+                self.owner.left(client)
         elif message.method == b"OPTIONS":
             viewer.useful = True
             viewer.channel.send(messages.answer(200, message))
@@ -214,27 +214,27 @@
         except messages.BadRequestError as error:
             self._mean_nothing(viewer, message, str(error))
             return
-        known = self.seats.get(session)
+        known = self.sessions.get(session)
         if known is not None:
             if playing_at is None:
                 self._doubled(viewer, message, known)
             return
         class_no = message.fields[b"x-tier"]
-        seat = Seat(session, viewer, class_no, request.title, message.body)
-        self.seats[session] = seat
+        client = ClientSession(session, viewer, class_no, request.title, message.body)
+        self.sessions[session] = client
         if playing_at is None:
             if len(viewer.open) >= OPEN_MOST:
-                del self.seats[session]
+                del self.sessions[session]
                 viewer.channel.send(messages.refused(session, self.settings.note_delay))
                 return
-            viewer.open[session] = seat
+            viewer.open[session] = client
         else:
-            seat.open = False
+            client.open = False
             viewer.useful = True
-            viewer.standing[session] = seat
-        self.owner.asked(seat, request, playing_at)
+            viewer.standing[session] = client
+        self.owner.asked(client, request, playing_at)
 
-    def _doubled(self, viewer: Viewer, message: rtsp.Message, known: Seat) -> None:
+    def _doubled(self, viewer: Viewer, message: rtsp.Message, known: ClientSession) -> None:
         """A second set-up under one id: who sent both is told so and closed, and gets neither."""
         if known.viewer is viewer and known.open:
             self.unreadable(viewer, "two requests under one id")
@@ -243,41 +243,41 @@
 
     # What viewers are told
 
-    def served(self, seat: Seat, description: bytes) -> bool:
+    def served(self, client: ClientSession, description: bytes) -> bool:
         """The session stands; False: its viewer can't be told."""
-        viewer = seat.viewer
+        viewer = client.viewer
         if viewer is None or viewer.channel.closed:
             return False
-        seat.open = False
-        viewer.open.pop(seat.session, None)
-        viewer.standing[seat.session] = seat
+        client.open = False
+        viewer.open.pop(client.session, None)
+        viewer.standing[client.session] = client
         viewer.useful = True
-        viewer.channel.send(messages.served(seat.session, description))
+        viewer.channel.send(messages.served(client.session, description))
         return True
 
-    def turned_away(self, seat: Seat, wire: bytes) -> None:
+    def turned_away(self, client: ClientSession, wire: bytes) -> None:
         """The final answer where the session does not stand."""
-        seat.open = False
-        if seat.viewer is not None:
-            seat.viewer.open.pop(seat.session, None)
-            seat.viewer.quiet_since = self.reactor.clock()
-            seat.viewer.channel.send(wire)
+        client.open = False
+        if client.viewer is not None:
+            client.viewer.open.pop(client.session, None)
+            client.viewer.quiet_since = self.reactor.clock()
+            client.viewer.channel.send(wire)
 
-    def tell(self, seat: Seat, wire: bytes) -> None:
+    def tell(self, client: ClientSession, wire: bytes) -> None:
         """A release or a move: on the session's own connection, else on any that viewers use."""
-        viewer = seat.viewer
+        viewer = client.viewer
         if viewer is None or viewer.channel.closed:
             viewer = next((x for x in self.viewers if x.useful and not x.channel.closed), None)
         if viewer is not None:
             viewer.channel.send(wire)
         else:
-            self._unsaid[seat.session] = (wire, self.reactor.clock() + 8.0)
+            self._unsaid[client.session] = (wire, self.reactor.clock() + 8.0)
 
-    def forget(self, seat: Seat) -> None:
+    def forget(self, client: ClientSession) -> None:
         """Nothing of this session is left."""
-        if self.seats.get(seat.session) is seat:
-            del self.seats[seat.session]
-        if seat.viewer is not None:
-            seat.viewer.open.pop(seat.session, None)
-            seat.viewer.standing.pop(seat.session, None)
-            seat.viewer.quiet_since = self.reactor.clock()
+        if self.sessions.get(client.session) is client:
+            del self.sessions[client.session]
+        if client.viewer is not None:
+            client.viewer.open.pop(client.session, None)
+            client.viewer.standing.pop(client.session, None)
+            client.viewer.quiet_since = self.reactor.clock()
--- a/otterglade/node/gateway.py
+++ b/otterglade/node/gateway.py
@@ -17,9 +17,9 @@
 from ..wire import dns, rtsp
 from . import messages
 from .config import Config, ConfigError, load
-from .door import Door, Seat
+from .discovery import Discovery
+from .frontend import ClientSession, Frontend
 from .hosts import Attempt, Host, Hosts, Stands
-from .names import Names
 
 SWEEP = 0.25
 """Seconds between two looks at what has been idle for too long."""
@@ -45,7 +45,7 @@
         self._queue: deque[Callable[[float], list[setups.Order]]] = deque()
         self._carrying = False
         self._timer = 0.0
-        self._seats: dict[int, Seat] = {}
+        self._sessions: dict[int, ClientSession] = {}
         self._descriptions: dict[int, bytes] = {}
         self._stopping: float | None = None
         self._room = max(32, config.sockets - SPARE)
@@ -53,8 +53,12 @@
         self.hosts = Hosts(reactor, self, settings.connect_timeout, links, say)
         self._event(self.setups.start)
         self._list(config.hosts)
-        self.door = Door(reactor, config.listen, self, settings, config.classes, self._room - links, say)
-        self.names = Names(reactor, config.resolver, config.serial, lambda x: self._list(x.hosts), say)
+        self.frontend = Frontend(
+            reactor, config.listen, self, settings, config.classes, self._room - links, say
+        )
+        self.discovery = Discovery(
+            reactor, config.resolver, config.serial, lambda x: self._list(x.hosts), say
+        )
         reactor.at(reactor.clock() + SWEEP, self._sweep)
 
     # Events and orders
@@ -88,33 +92,35 @@
             case setups.GiveUp(number, attempt, host, late):
                 self._give_up(number, attempt, host, late)
             case setups.Serve(number):
-                seat = self._seats[number]
-                if not self.door.served(seat, self._descriptions.pop(number, b"")):
+                client = self._sessions[number]
+                if not self.frontend.served(client, self._descriptions.pop(number, b"")):
                     self._event(lambda now: self.setups.gone(now, number))
-            case setups.Turn(number, come_back):
-                seat = self._seats[number]
-                self.door.turned_away(seat, messages.refused(seat.session, come_back))
-            case setups.Fault(number):
-                seat = self._seats[number]
-                self.door.turned_away(seat, messages.failed(seat.session))
+            case setups.Refuse(number, come_back):
+                client = self._sessions[number]
+                self.frontend.turned_away(client, messages.refused(client.session, come_back))
+            case setups.Fail(number):
+                client = self._sessions[number]
+                self.frontend.turned_away(client, messages.failed(client.session))
             case setups.Rung(number, host, rung):
-                self._at(host, lambda x: x.rung(self._seats[number].session, rung))
+                self._at(host, lambda x: x.rung(self._sessions[number].session, rung))
             case setups.Cut(number, host):
-                self._at(host, lambda x: x.cut(self._seats[number].session))
+                self._at(host, lambda x: x.cut(self._sessions[number].session))
             case setups.Move(number, host):
-                seat = self._seats[number]
-                self.door.tell(seat, messages.move(seat.session))
-                self._at(host, lambda x: x.cut(seat.session, messages.move(seat.session)))
+                client = self._sessions[number]
+                self.frontend.tell(client, messages.move(client.session))
+                self._at(host, lambda x: x.cut(client.session, messages.move(client.session)))
             case setups.Release(number, outcome):
                 if outcome is not api.Outcome.CANCELLED:
-                    seat = self._seats[number]
-                    self.door.tell(seat, messages.release(seat.session, messages.CAUSES.get(outcome, 41)))
+                    client = self._sessions[number]
+                    self.frontend.tell(
+                        client, messages.release(client.session, messages.CAUSES.get(outcome, 41))
+                    )
             case setups.Over(number, host):
                 self._over(number, host)
             case setups.Ask(host):
                 self._at(host, lambda x: x.test())
             case setups.AskList():
-                self.names.ask()
+                self.discovery.ask()
             case setups.Say(text):
                 self.say(text)
 
@@ -124,66 +130,66 @@
             call(host)
 
     def _send(self, order: setups.Send) -> None:
-        host, seat = self.hosts.by_number.get(order.host), self._seats[order.number]
+        host, client = self.hosts.by_number.get(order.host), self._sessions[order.number]
         number, attempt = order.number, order.attempt
         if host is None:
             self._event(lambda now: self.setups.ended(now, number, attempt, api.Outcome.REFUSED))
             return
         wire = messages.attempt(
-            seat.session, seat.class_no, seat.title, seat.description, order.rung, order.time_out
+            client.session, client.class_no, client.title, client.description, order.rung, order.time_out
         )
-        host.set_up(Attempt(number, attempt, seat.session, wire))
+        host.set_up(Attempt(number, attempt, client.session, wire))
 
     def _give_up(self, number: int, attempt: int, server: int, late: bool) -> None:
-        host, seat = self.hosts.by_number.get(server), self._seats[number]
-        if host is not None and seat.session in host.attempts:
-            host.give_up(seat.session, late)
+        host, client = self.hosts.by_number.get(server), self._sessions[number]
+        if host is not None and client.session in host.attempts:
+            host.give_up(client.session, late)
             return
         outcome = api.Outcome.TIMED_OUT if late else api.Outcome.CANCELLED
         self._event(lambda now: self.setups.ended(now, number, attempt, outcome))
 
     def _over(self, number: int, server: int) -> None:
-        seat = self._seats.pop(number)
+        client = self._sessions.pop(number)
         self._descriptions.pop(number, None)
-        self._at(server, lambda x: x.let_go(seat.session))
-        self.door.forget(seat)
+        self._at(server, lambda x: x.let_go(client.session))
+        self.frontend.forget(client)
 
     # From viewers
 
-    def asked(self, seat: Seat, request: api.SessionRequest, playing_at: str | None) -> None:
+    def asked(self, client: ClientSession, request: api.SessionRequest, playing_at: str | None) -> None:
         if playing_at is not None:
-            self._handed_over(seat, request, playing_at)
+            self._handed_over(client, request, playing_at)
             return
 
         def told(now: float) -> list[setups.Order]:
             number, orders = self.setups.request(now, request)
-            seat.number = number
-            self._seats[number] = seat
+            client.number = number
+            self._sessions[number] = client
             return orders
 
         self._event(told)
 
-    def _handed_over(self, seat: Seat, request: api.SessionRequest, name: str) -> None:
+    def _handed_over(self, client: ClientSession, request: api.SessionRequest, name: str) -> None:
         number = self.setups.hosts.get(name)
         host = None if number is None else self.hosts.by_number.get(number)
         if host is None or host.gone:
             # Its host is not in the list: nobody could tell its end, so it is over now.
-            self.door.tell(seat, messages.release(seat.session, 41))
-            self.door.forget(seat)
+            self.frontend.tell(client, messages.release(client.session, 41))
+            self.frontend.forget(client)
             return
 
         def told(now: float) -> list[setups.Order]:
             session, orders = self.setups.handed_over(now, request, host.number)
-            seat.number = session
-            self._seats[session] = seat
-            host.hold(seat.session, Stands(session, 0, now))
+            client.number = session
+            self._sessions[session] = client
+            host.hold(client.session, Stands(session, 0, now))
             return orders
 
         self._event(told)
 
-    def left(self, seat: Seat) -> None:
-        if seat.number:
-            self._event(lambda now: self.setups.gone(now, seat.number))
+    def left(self, client: ClientSession) -> None:
+        if client.number:
+            self._event(lambda now: self.setups.gone(now, client.number))
 
     # From hosts
 
@@ -234,25 +240,25 @@
             return
         self.say(f"SIGHUP: name service at {config.resolver[0]}:{config.resolver[1]}")
         self.config = config
-        self.names.move(config.resolver)
+        self.discovery.move(config.resolver)
 
     def _sweep(self) -> None:
         now = self.reactor.clock()
         self.reactor.at(now + SWEEP, self._sweep)
         self.hosts.sweep()
         # Many hosts with a control connection each may need more than their part.
-        self.door.most = self._room - max(self._links, self.hosts.count())
-        self.door.sweep()
+        self.frontend.most = self._room - max(self._links, self.hosts.count())
+        self.frontend.sweep()
         if self._stopping is not None and now > self._stopping + STAY and not self._owes(now):
             self.reactor.stop()
 
     def _owes(self, now: float) -> bool:
         """Whether an end now would lose what was taken: requests read and not looked at yet, set-ups without
         an answer, answers that are not out whole."""
-        if self.reactor.behind or any(x.open for x in self._seats.values()):
+        if self.reactor.behind or any(x.open for x in self._sessions.values()):
             return True
         assert self._stopping is not None, "asked once it stops"
-        return self.door.unsent and now < self._stopping + STAY + READS_FOR
+        return self.frontend.unsent and now < self._stopping + STAY + READS_FOR
 
     def watch_signals(self, wakeup: socket.socket) -> None:
         """Bytes on this socket are numbers of signals."""
--- a/otterglade/node/hosts.py
+++ b/otterglade/node/hosts.py
@@ -41,7 +41,7 @@
 OVERDUE = 0.4
 """Seconds without an answer to a set-up, after which its connection may be of no further use: another one is
 opened, on which the host can send what it could not send there."""
-CALLED_OFF_KEPT = 1024
+CANCELLED_KEPT = 1024
 """Set-ups of one host that were given up, whose late answers are still known; releases that it is owed."""
 
 
@@ -88,7 +88,7 @@
         self.reader = rtsp.Reader()
         self.attempts: dict[bytes, Attempt] = {}
         self.tests: dict[bytes, float] = {}
-        self.retired = False
+        self.draining = False
         """Takes nothing new; closed once nothing depends on it."""
         self.used = host.pool.reactor.clock()
         self.partial_since: float | None = None
@@ -103,7 +103,7 @@
         try:
             more = self.reader.several(data, MESSAGES, self._one)
         except rtsp.RtspError as error:
-            self.host.spoilt(self, str(error))
+            self.host.malformed(self, str(error))
             return False
         if not more and not self.channel.closed:
             self._note_rest()
@@ -124,7 +124,7 @@
     def _stopped_short(self) -> None:
         since, now = self.partial_since, self.host.pool.reactor.clock()
         if not self.channel.closed and since is not None and now - since >= STOPPED_FOR:
-            self.host.spoilt(self, "a message that stops short")
+            self.host.malformed(self, "a message that stops short")
 
     def ended(self, cause: str) -> None:
         self.host.link_ended(self, cause)
@@ -146,9 +146,9 @@
         self.control: Link | None = None
         self.attempts: dict[bytes, Attempt] = {}
         self.standing: dict[bytes, Stands] = {}
-        self.called_off: OrderedDict[bytes, float] = OrderedDict()
+        self.cancelled: OrderedDict[bytes, float] = OrderedDict()
         """Set-ups given up, and when: a late answer to one is released."""
-        self.owed: dict[bytes, None] = {}
+        self.pending_releases: dict[bytes, None] = {}
         """Releases for the next connection that comes up."""
         self.heard_at = pool.reactor.clock()
         self.failing: float | None = None
@@ -164,8 +164,8 @@
     def set_up(self, attempt: Attempt) -> None:
         """Carry an attempt out; its end, or that it stands, is told to the owner."""
         self.attempts[attempt.session] = attempt
-        self.called_off.pop(attempt.session, None)
-        self.owed.pop(attempt.session, None)
+        self.cancelled.pop(attempt.session, None)
+        self.pending_releases.pop(attempt.session, None)
         link = self._link_for_set_up()
         if link is None:
             # Not one descriptor to be had: nothing was sent.
@@ -181,17 +181,17 @@
             self._over(attempt, api.Outcome.SKIPPED)
 
     def _link_for_set_up(self) -> Link | None:
-        up = [x for x in self.links if not x.retired and not x.channel.closed]
+        up = [x for x in self.links if not x.draining and not x.channel.closed]
         for link in up:
             if link is not self.control and link.channel.up and not link.attempts and not link.tests:
                 if not link.channel.stale():
                     return link
-                link.retired = True  # its end is in the kernel already, and is heard with the next turn
+                link.draining = True  # its end is in the kernel already, and is heard with the next turn
         if len(self.links) < self.pool.links_each() and self.pool.room():
             opened = self._open()
             if opened is not None:
                 return opened
-        up = [x for x in up if not x.retired and x.channel.up]
+        up = [x for x in up if not x.draining and x.channel.up]
         return min(up, key=lambda x: len(x.attempts), default=None) or self._open()
 
     def _open(self) -> Link | None:
@@ -218,11 +218,11 @@
         del link.attempts[session]
         if phase is Phase.SENT:
             link.channel.send(messages.release(session, None))
-            self.called_off[session] = self.pool.reactor.clock()
-            if len(self.called_off) > CALLED_OFF_KEPT:
-                self.called_off.popitem(last=False)
+            self.cancelled[session] = self.pool.reactor.clock()
+            if len(self.cancelled) > CANCELLED_KEPT:
+                self.cancelled.popitem(last=False)
         if late:
-            link.retired = True  # an answer that never came: the connection may be of no further use
+            link.draining = True  # an answer that never came: the connection may be of no further use
         # What the kernel has not taken cannot be called off by a message behind it: the close does it, and
         # the attempt is out no longer. Others on this connection are closed with it, as their set-ups are.
         if link.channel.unsent:
@@ -244,16 +244,16 @@
 
     def cut(self, session: bytes, wire: bytes | None = None) -> None:
         """End a session here, or what may be left of one. It stays held until its host tells the end."""
-        if not self._send_or_owe(session, wire):
+        if not self._send_or_keep(session, wire):
             self.ensure_control()
 
-    def _send_or_owe(self, session: bytes, wire: bytes | None = None) -> bool:
+    def _send_or_keep(self, session: bytes, wire: bytes | None = None) -> bool:
         """Write a release; False: no connection is up, and it goes out on the next one that is."""
         link = self._talk()
         if link is not None:
             link.channel.send(wire or messages.release(session, 31))
-        elif len(self.owed) < CALLED_OFF_KEPT:
-            self.owed[session] = None
+        elif len(self.pending_releases) < CANCELLED_KEPT:
+            self.pending_releases[session] = None
         return link is not None
 
     def let_go(self, session: bytes) -> None:
@@ -273,7 +273,7 @@
         """The connection for messages that belong to none."""
         if self.control is not None and self.control.channel.up and not self.control.channel.closed:
             return self.control
-        return next((x for x in self.links if x.channel.up and not x.channel.closed and not x.retired), None)
+        return next((x for x in self.links if x.channel.up and not x.channel.closed and not x.draining), None)
 
     def ensure_control(self) -> None:
         if self.control is None and not self.replaced and self.pool.reactor.clock() >= self.try_at:
@@ -332,15 +332,15 @@
         attempt = link.attempts.get(session)
         if attempt is None or message.fields.get(b"cseq") != b"1":
             # An unknown id, a second copy, or a late answer to what was given up: only that one is acted on.
-            if status == 200 and message.fields.get(b"cseq") == b"1" and session in self.called_off:
-                del self.called_off[session]
+            if status == 200 and message.fields.get(b"cseq") == b"1" and session in self.cancelled:
+                del self.cancelled[session]
                 self.cut(session)
             return
         if status != 200:
             outcome = messages.ANSWERS.get(status, api.Outcome.ERROR)
             self._over(attempt, outcome, messages.load_of(message))
         elif not rtsp.is_description(message.body) or not link.reader.follows_well():
-            self.spoilt(link, "an answer whose description is not whole")
+            self.malformed(link, "an answer whose description is not whole")
         else:
             del link.attempts[session], self.attempts[session]
             self.hold(session, Stands(attempt.number, attempt.attempt, self.pool.reactor.clock()))
@@ -361,11 +361,11 @@
     def link_up(self, link: Link) -> None:
         self.failing, self.try_at = None, 0.0
         self.heard_at = self.pool.reactor.clock()
-        for session in self.owed:
+        for session in self.pending_releases:
             link.channel.send(messages.release(session, 31))
-        self.owed.clear()
+        self.pending_releases.clear()
 
-    def spoilt(self, link: Link, why: str) -> None:
+    def malformed(self, link: Link, why: str) -> None:
         """Bytes that can't be read, or an answer that is not whole: nothing on this connection counts now."""
         self.pool.say(f"{self.name}: {why}")
         self._drop(link, Trouble.GARBAGE)
@@ -390,7 +390,7 @@
             return
         now = self.pool.reactor.clock()
         self.try_at = now + TRY_AGAIN
-        open_still = any(x.channel.up and not x.retired for x in self.links)
+        open_still = any(x.channel.up and not x.draining for x in self.links)
         # One that the list still names may refuse a further connection and live on those that it has. One
         # that has left the list is gone, though its last connections are closed only a while later, or never.
         if cause == "refused" and (self.gone or not open_still):
@@ -421,7 +421,7 @@
                 self.set_up(attempt)
                 continue
             if phase is Phase.ANSWER or phase is Phase.SENT:
-                self._send_or_owe(attempt.session)  # what it may have set up is not left standing
+                self._send_or_keep(attempt.session)  # what it may have set up is not left standing
             self._over(attempt, of_trouble(phase, trouble))
         outcome = of_trouble(Phase.SENT if link.channel.up else Phase.CONNECT, trouble)
         for sent in tests:
@@ -441,7 +441,7 @@
             self.pool.say(f"{self.name}: {why}: {len(standing)} sessions are over")
         for session, stands in standing.items():
             if silent:
-                self.owed[session] = None  # should it only have been cut off
+                self.pending_releases[session] = None  # should it only have been cut off
             self.pool.owner.attempt_ended(stands.number, stands.attempt, api.Outcome.RESET, None)
 
     def restarted(self, since: float) -> None:
@@ -460,14 +460,14 @@
 
     def sweep(self, now: float) -> None:
         """Close what is idle, and see to a host that holds sessions and says nothing."""
-        while self.called_off and next(iter(self.called_off.values())) < now - LINGER:
-            self.called_off.popitem(last=False)
+        while self.cancelled and next(iter(self.cancelled.values())) < now - LINGER:
+            self.cancelled.popitem(last=False)
         spare = 0
         for link in list(self.links):
             if link.attempts or link.tests or link is self.control or now - link.used < LINGER:
                 continue
-            spare += not link.retired
-            if link.retired or (spare > IDLE_KEPT and now - link.used > IDLE_FOR):
+            spare += not link.draining
+            if link.draining or (spare > IDLE_KEPT and now - link.used > IDLE_FOR):
                 link.channel.close()
                 self._forget(link)
         if self.idle:
@@ -487,7 +487,7 @@
             self.ensure_control()
         elif now - self.heard_at > SILENT_FOR and now >= self.try_at and self.control.channel.up:
             old, self.control = self.control, None
-            old.retired, old.used = True, now
+            old.draining, old.used = True, now
             self.try_at = now + TRY_AGAIN
             self.control = self._open()
 
--- a/tests/planted.py
+++ b/tests/planted.py
@@ -78,7 +78,7 @@
         ("core/carryover.py", "if number > kept.spends]", "]", DESK),
         ("core/carryover.py", "same and now + turn.next_turn - gone > server.next_turn", "same", DESK),
         ("core/carryover.py", "desk.budget.resume(taken, further)", "desk.budget.resume(taken, [])", DESK),
-        # The platform's door: the books around the module, and its sockets
+        # The platform's frontend: the books around the module, and its sockets
         ("core/setups.py", "if setup.gone:\n            self._cut", "if False:\n            self._cut", NODE),
         ("core/setups.py", "setup.stage is not Stage.OUT or attempt != setup.attempts - 1:", "setup.stage is not Stage.OUT:", NODE),
         ("core/setups.py", "if allowed < left:", "if False:", NODE),
@@ -86,11 +86,11 @@
         ("core/setups.py", "if stood and not setup.gone and not setup.moved:", "if stood and not setup.moved:", NODE),
         ("core/setups.py", "final = setup.answered or setup.gone", "final = setup.answered", NODE),
         ("core/setups.py", "if setup.attempts >= self.settings.max_attempts or left <= 0:", "if left <= 0:", NODE),
-        ("node/hosts.py", "del self.called_off[session]\n                self.cut(session)", "pass", NODE),
+        ("node/hosts.py", "del self.cancelled[session]\n                self.cut(session)", "pass", NODE),
         ("node/hosts.py", "or not link.reader.follows_well():", "or False:", NODE),
         ("node/hosts.py", "if link.channel.unsent:", "if False:", NODE),
         ("node/hosts.py", "if stands.since < since:", "if False:", NODE),
-        ("node/hosts.py", "self._send_or_owe(attempt.session)  #", "pass  #", NODE),
+        ("node/hosts.py", "self._send_or_keep(attempt.session)  #", "pass  #", NODE),
         # The log
         ("store/disk.py", "os.fdatasync(fd)", "pass", STORE),
         ("store/disk.py", "os.fsync(fd)", "pass", STORE),
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1,4 +1,4 @@
-"""The platform's door as a process: viewers, hosts and the name service as real sockets, also bad ones."""
+"""The platform's frontend as a process: viewers, hosts and name service as real sockets, also bad ones."""
 
 from __future__ import annotations
 
@@ -745,9 +745,9 @@
     reactor = Reactor(lambda: now[0])
     gateway = Gateway(load(str(found.path)), str(found.path), reactor, lambda text: None)
     peer = socket.create_connection(found.address)
-    while not gateway.door.viewers:
+    while not gateway.frontend.viewers:
         reactor.turn(0.1)
-    (viewer,) = gateway.door.viewers
+    (viewer,) = gateway.frontend.viewers
     gateway.signalled(signal.SIGTERM)
     sent = 0
     while not viewer.channel.unsent:
--- a/tests/test_node_hosts.py
+++ b/tests/test_node_hosts.py
@@ -12,8 +12,8 @@
 from otterglade.core import interface as api
 from otterglade.net.reactor import Reactor
 from otterglade.node import messages
+from otterglade.node.discovery import Discovery
 from otterglade.node.hosts import Attempt, Host, Hosts
-from otterglade.node.names import Names
 from otterglade.wire import rtsp
 
 from .platform import ANSWER, DESCRIPTION, Got, NameService, fields, fresh, platform, set_up
@@ -109,7 +109,7 @@
     """The first question after the name service could not be reached: its answer is read like any other."""
     service, reactor, told = NameService(), Reactor(), []
     service.hosts = {"h0": (("127.0.0.1", 9), 0, False)}
-    names = Names(reactor, service.address, 0, told.append, lambda text: None)
+    names = Discovery(reactor, service.address, 0, told.append, lambda text: None)
     assert names._sock is not None
     reactor.forget(names._sock.fileno())
     names._sock.close()
--- a/tests/test_setups.py
+++ b/tests/test_setups.py
@@ -79,12 +79,12 @@
                         self.may_have_run.add(number)
                         outcome = api.Outcome.TIMED_OUT if late else api.Outcome.CANCELLED
                         self.do(self.s.ended(self.now, number, attempt, outcome))
-                case setups.Serve(number) | setups.Turn(number) | setups.Fault(number):
+                case setups.Serve(number) | setups.Refuse(number) | setups.Fail(number):
                     self.answers[number] += 1
                     assert self.answers[number] == 1, "two answers"
                     assert number not in self.viewer_gone
                     assert self.now <= self.until[number] + 1e-6, "an answer after its time"
-                    if isinstance(order, setups.Turn):
+                    if isinstance(order, setups.Refuse):
                         assert self.class_no[number] == FREE or number not in self.may_have_run
                 case setups.Release(number):
                     assert self.answers[number] == 1 and number not in self.viewer_gone
@@ -193,7 +193,7 @@
     s = made(bounds__max_attempts=1)
     number, _ = s.request(100.0, terms())
     orders = s.ended(100.1, number, 0, api.Outcome.BUSY)
-    assert only(orders, setups.Turn) and not only(orders, setups.Send)
+    assert only(orders, setups.Refuse) and not only(orders, setups.Send)
 
 
 def test_a_late_answer_of_the_attempt_before_is_not_taken_for_the_one_that_is_out() -> None:
@@ -296,5 +296,5 @@
     s.ended(100.0, number, 0, api.Outcome.SKIPPED)
     s.open[number].stage = setups.Stage.WAITING
     orders = s.due(101.0)
-    assert len(only(orders, setups.Fault)) + len(only(orders, setups.GiveUp)) == 1
+    assert len(only(orders, setups.Fail)) + len(only(orders, setups.GiveUp)) == 1
     assert number not in s.open or s.open[number].stage is setups.Stage.OUT
