A configuration that can't be meant is refused with its field; starts have bounds

Wrong: settings.paths joined every value to text, so that a list's comma, a figure in quotes and a missing limit all read as something; config.read caught some errors and named none.

Now JSON is read as JSON (settings.Tree beside Pairs), each figure with the range that can be meant, each error with its path; IPv4 addresses alone, as a name's look-up would hold up the loop. `paths` is gone, and its test is replaced by one over both forms.

--- a/otterglade/core/interface.py
+++ b/otterglade/core/interface.py
@@ -71,6 +71,7 @@
 class Tenant:
     quota: float
     """Sessions a second, over all gateways, within its share."""
+    name: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/otterglade/wire/dns.py
+++ b/otterglade/wire/dns.py
@@ -14,6 +14,8 @@
 """Bytes of an answer that is read; the platform's hold up to 8,000."""
 RECORDS_MOST = 1024
 NAME_MOST = 255
+STARTED_MOST = 1e15
+"""Unix milliseconds of a start that can be meant: one without end would leave a host cold for ever."""
 
 A, SOA, TXT, SRV, IN = 1, 6, 16, 33, 1
 HEADER = struct.Struct("!HHHHHH")
@@ -174,6 +176,8 @@
         cell, started = int(text["cell"]), float(text.get("started", "0") or "0")
     except (KeyError, ValueError):
         raise DnsError(f"a text that can't be read: {target}") from None
+    if cell < 0 or not 0 <= started < STARTED_MOST:
+        raise DnsError(f"a cell or start that can't be meant: {target}")
     return HostRecord(
         labels[0], labels[1], addresses[target], port, priority != 0, weight / 10.0, text.get("kind", ""),
         cell, started,
--- a/tests/test_dns.py
+++ b/tests/test_dns.py
@@ -48,6 +48,22 @@
         dns.read(ANSWER.replace(struct.pack("!HH", 6, 1), struct.pack("!HH", 5, 1)), 4711, NAME)
 
 
+@pytest.mark.parametrize("start", [b"inf", b"nan", b"-1", b"1e99"])
+def test_a_start_that_cannot_be_meant_gives_no_list(start: bytes) -> None:
+    """One without end would leave its host cold for ever; one that is no number is neither old nor new."""
+    usual = b"\x08kind=std\x06cell=2\x09started=0"
+    kind = b"kind=" + b"x" * (4 - len(start))  # as long in all
+    spoilt = b"".join(bytes((len(x),)) + x for x in (kind, b"cell=2", b"started=" + start))
+    assert len(spoilt) == len(usual) and usual in ANSWER
+    with pytest.raises(dns.DnsError, match="meant"):
+        dns.read(ANSWER.replace(usual, spoilt), 4711, NAME)
+
+
+def test_a_cell_that_cannot_be_meant_gives_no_list() -> None:
+    with pytest.raises(dns.DnsError, match="meant"):
+        dns.read(dns_answer(QUERY, 41, {"s-1": (("10.1.0.9", 5080), -1, False)}), 4711, NAME)
+
+
 @given(st.integers(0, len(ANSWER) - 1))
 def test_an_answer_cut_anywhere_is_no_list(end: int) -> None:
     with pytest.raises(dns.DnsError):
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Iterator
 from pathlib import Path
+from typing import Any
 
 import pytest
 
-from otterglade.core.settings import Pairs, paths, settings_of
+from otterglade.core.settings import Pairs, Tree, settings_of
 from otterglade.node import config
 
 from .platform import Platform, settings
@@ -33,14 +35,20 @@
 
 def test_both_ways_lead_to_equal_settings() -> None:
     by_wire = settings_of(Pairs(WIRE.split()))
-    by_json = settings_of(Pairs(paths(json.loads(json.dumps(settings())))))
+    by_json = settings_of(Tree(json.loads(json.dumps(settings()))))
     assert by_wire == by_json
     assert by_json.classes[1].seats == 78 and by_json.classes[1].floor == 1 and by_json.max_retry_after == 1.0
 
 
-def test_lists_of_objects_are_counted_and_lists_of_values_joined() -> None:
-    given = {"a": {"b": [1, 2.5, True, None]}, "c": [{"d": "x"}, {"d": None}], "e": [], "f": False}
-    assert list(paths(given)) == ["a.b=1,2.5,true,-", "c.count=2", "c.0.d=x", "c.1.d=-", "e=", "f=false"]
+def test_lists_of_objects_are_counted_and_values_have_paths() -> None:
+    """Both forms by the same paths; a name with a comma or `=` is one name."""
+    tree = Tree({"a": {"b": [1, 2.5], "t": True}, "c": [{"d": "x,y=1"}, {"d": None}], "e": [], "f": None})
+    pairs = Pairs(["a.b=1,2.5", "a.t=true", "c.count=2", "c.0.d=x_y", "c.1.d=-", "e=", "f=-"])
+    for form in (tree, pairs):
+        assert form.numbers("a.b") == [1.0, 2.5] and form.flag("a.t") and form.count("c") == 2
+        assert form.get("c.1.d") is None and form.many("e") == [] and form.num("f", 7.0) == 7.0
+        assert form.num("not.there", 3.0) == 3.0 and form.count("no.list") == 0
+    assert tree.text("c.0.d") == "x,y=1"
 
 
 def test_known_events_are_applied_in_order(tmp_path: Path) -> None:
@@ -66,3 +74,159 @@
 def test_an_address_that_is_none_names_its_field(text: str | None) -> None:
     with pytest.raises(config.ConfigError, match="listen"):
         config.address(text, "listen")
+
+
+# Every field: missing, of a wrong type, out of range
+
+
+TENANTS = [{"name": "a", "quota_per_s": 5.0, "fraction": 1.0}]
+BY_GROUP = {
+    "bounds": "connect_timeout idle_close max_attempts max_retry_after",
+    "contract": "ask_within cold counted_over extra_ratio fall free_resends overload_factor start_capacity",
+    "family_info": "cells rack_link_kb refuses_from reports_every see shared_adds shelves stall "
+    "switch_cost_s weight_kb",
+    "tariffs": "moves probe handshake cross_zone",
+    "classes.0": "goal_time dedup_window",
+    "classes.1": "points",
+    "tenants.0": "quota_per_s",
+}
+FIGURES = ["n_instances", "over_share_worth", "zone"]
+FIGURES += [f"{group}.{x}" for group, names in BY_GROUP.items() for x in names.split()]
+LISTS = ["class_scale", "kind_slots", "ladder_kb", "ladder_worth", "lowest_rung", "seats", "top_by_class"]
+FLAGS = ("bounds.probes", "bounds.retry_after", "family_info.class_live.0")
+NAMES = ("classes.0.name", "tenants.0.name", "localities.0", "shapes.0")
+WORDS = ("classes.0.idempotency", "classes.1.group", "discovery", "report.how")
+GROUPS = (
+    "bounds",
+    "classes",
+    "contract",
+    "family_info",
+    "report",
+    "tariffs",
+    "tenants",
+    "classes.0",
+    "tenants.0",
+)
+BAD_FIGURES = (-1, float("nan"), float("inf"), 1e300, 10**400, "5", True, [1.0], {})
+
+
+def whole(folder: Path) -> dict[str, Any]:
+    p = Platform(folder, given=settings(tenants=TENANTS))
+    p.names.close()
+    p.names.hosts = {"h0": (("127.0.0.1", 9), 0, False)}
+    return p.config() | {"listen": "127.0.0.1:1"}
+
+
+def put(value: Any, path: str, new: Any) -> None:
+    """`...` as the new value takes the field out."""
+    *above, last = path.split(".")
+    for name in above:
+        value = value[int(name) if isinstance(value, list) else name]
+    if new is ...:
+        del value[last]
+    else:
+        value[int(last) if isinstance(value, list) else last] = new
+
+
+def bad() -> Iterator[tuple[str, Any]]:
+    for path in FIGURES:
+        yield from ((f"settings.{path}", x) for x in BAD_FIGURES)
+    for name in LISTS:
+        yield from ((f"settings.family_info.{name}.0", x) for x in (*BAD_FIGURES, None))
+        yield f"settings.family_info.{name}", 3
+    for name in ("class_scale", "lowest_rung", "seats", "top_by_class", "class_live"):
+        yield f"settings.family_info.{name}", [0]  # one for two classes
+    for name in ("lowest_rung.1", "top_by_class.0", "seats.1"):
+        yield from ((f"settings.family_info.{name}", x) for x in (0.5, 3) if (name, x) != ("seats.1", 3))
+    for path in ("n_instances", "zone", "bounds.max_attempts", "family_info.cells", "family_info.shelves"):
+        yield f"settings.{path}", 1.5
+    for path in FLAGS:
+        yield from ((f"settings.{path}", x) for x in ("true", 1, []))
+    for path in NAMES:
+        yield from ((f"settings.{path}", x) for x in (None, 7, ["a"]))
+    for path in NAMES[:2]:
+        yield from ((f"settings.{path}", x) for x in ("", " ", "a\r\nb"))
+    for path in WORDS:
+        yield from ((f"settings.{path}", x) for x in ("twice", 7, True))
+    for path in GROUPS:
+        yield from ((f"settings.{path}", x) for x in (3, "x", [3]))
+    for path in (*config.REQUIRED, *(f"classes.1.{x}" for x in config.CLASS_REQUIRED)):
+        yield from ((f"settings.{path}", x) for x in (..., None))
+    yield from (("settings.classes.1.name", "free"), ("settings.family_info.ladder_kb", [3.0, 2.0, 1.0]))
+    yield from (("settings.family_info.ladder_worth", [1.0]), ("settings.zone", 1), ("settings.classes", []))
+    yield from (("settings.shapes", ["a", "b"]), ("settings.family_info.cells", 0))
+    for field in ("listen", "resolver"):
+        hosts = ("x:80", "1.2.3.4", "1.2.3.4:\u00b2", "1.2.3.4:" + "9" * 5000, 80, ["1.2.3.4:80"], None, ...)
+        yield from ((field, x) for x in hosts)
+    yield from (("seed", x) for x in ("-1", "g", "", 7, None, ...))
+    yield from (("limits.sockets", x) for x in (*BAD_FIGURES, 55, 64.5))
+    yield from (("limits", 3), ("settings", ...), ("known", ...), ("known.batch", ...), ("known.offset", ...))
+    yield from (("known.offset", x) for x in (*BAD_FIGURES, 0.5, 2**32))
+    event = "known.batch.0"
+    yield from ((event, 3), (f"{event}.topology", 3), (f"{event}.topology.instances", {}), ("name", 3))
+    host = f"{event}.topology.instances.0"
+    yield from ((host, "h0"), (f"{host}.lifecycle", "asleep"), (f"{host}.lifecycle", []))
+    yield from ((f"{host}.{x}", y) for x in ("weight", "cell", "startedAtMs") for y in BAD_FIGURES if y != {})
+    for name in ("instanceId", "zone", "machineType", "hostPort"):
+        yield from ((f"{host}.{name}", x) for x in (None, 7, ...))
+
+
+def test_a_field_that_cannot_be_meant_is_named(tmp_path: Path) -> None:
+    text, wrong = json.dumps(whole(tmp_path)), []
+    config.read(json.loads(text))
+    for path, new in bad():
+        value = json.loads(text)
+        put(value, path, new)
+        try:
+            config.read(value)
+            wrong.append((path, new, "it started"))
+        except config.ConfigError as error:
+            # A list is named where its values are not counted in the message.
+            named = str(error).split(":")[0]
+            if not (
+                named == path or path.startswith(f"{named}.") or named.startswith(path.rsplit(".", 1)[0])
+            ):
+                wrong.append((path, new, str(error)))
+            if len(str(error)) > 200 or "\n" in str(error):
+                wrong.append((path, new, "a long text"))
+    assert not wrong
+
+
+LEGAL: dict[str, dict[str, Any]] = {
+    "no tenants": {"tenants": None},
+    "no prices, reports or zones": {"tariffs": {}, "report": {}, "localities": [], "shapes": []},
+    "no budget": {"contract__counted_over": 0.0, "contract__free_resends": None},
+    "no floors, no seats": {"family_info__lowest_rung": None, "family_info__seats": None},
+    "one cell, one rack": {"family_info__cells": 1, "family_info__shelves": 1},
+    "whole numbers as fractions": {"family_info__cells": 3.0, "n_instances": 200.0},
+    "one rung": {"family_info__ladder_kb": [300.0], "family_info__ladder_worth": [1.0],
+                 "family_info__lowest_rung": [0, 0], "family_info__top_by_class": [0, 0]},
+    "twelve rungs": {"family_info__ladder_kb": [100.0 * x for x in range(1, 13)],
+                     "family_info__ladder_worth": [x / 12 for x in range(1, 13)],
+                     "family_info__lowest_rung": [0, 11], "family_info__top_by_class": [3, 11]},
+    "twenty classes": {
+        "classes": [{"name": f"{i}.k\u00e4se, =", "goal_time": 1.0, "points": 0, "group": "cell",
+                     "idempotency": "deduplicated"} for i in range(20)],
+        **{f"family_info__{x}": [0] * 20 for x in ("lowest_rung", "seats")}, "family_info__class_scale": None,
+        "family_info__class_live": None, "family_info__top_by_class": None},
+    "new keys": {"new": {"a.b": [[[]], {}]}, "bounds__more": "x"},
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("kind", LEGAL)
+def test_settings_that_are_legal_are_read(tmp_path: Path, kind: str) -> None:
+    value = whole(tmp_path)
+    value["settings"] = settings(**LEGAL[kind])
+    hosts = value["known"]["batch"][0]["topology"]["instances"]
+    hosts.clear() if kind == "one cell, one rack" else hosts[0].update(startedAtMs=None, weight=0)
+    found = config.read(value)
+    assert len(found.classes) == len(found.settings.classes) == len(value["settings"]["classes"])
+    assert all(x.started == 0 for x in found.hosts)
+
+
+@pytest.mark.parametrize("text", [b"", b"[]", b"\xff", b"[" * 100_000, b'{"settings": {}}', b"1e999"])
+def test_a_file_that_holds_no_configuration_is_told_in_a_line(tmp_path: Path, text: bytes) -> None:
+    (tmp_path / "c").write_bytes(text)
+    with pytest.raises(config.ConfigError) as told:
+        config.load(str(tmp_path / "c"))
+    assert "\n" not in str(told.value)
