--- a/otterglade/node/frontend.py
+++ b/otterglade/node/frontend.py
@@ -27,6 +27,9 @@
 """Messages of one connection that mean nothing, before it is closed."""
 OPEN_MOST = 256
 """Set-ups open on one connection; one more is refused."""
+HANDED_OVER_MOST = 8192
+"""Sessions handed over since the start. They come when a gateway starts and nobody has to answer for them, so
+nothing else bounds what one peer at full speed could make a gateway hold."""
 
 
 class Owner(Protocol):
@@ -100,6 +103,7 @@
         self.classes, self.most, self.say = classes, most, say
         self.viewers: dict[Viewer, None] = {}
         self.sessions: dict[bytes, ClientSession] = {}
+        self.handed_over = 0
         self._said: set[str] = set()
         """Reasons that are in the log already."""
         self._unsaid: dict[bytes, tuple[bytes, float]] = {}
@@ -219,8 +223,15 @@
             if playing_at is None:
                 self._doubled(viewer, message, known)
             return
+        if playing_at is not None:
+            self.handed_over += 1
+            if self.handed_over > HANDED_OVER_MOST:
+                self._mean_nothing(viewer, message, "X-Attrs: too many handed over")
+                return
         class_no = message.fields[b"x-tier"]
-        client = ClientSession(session, viewer, class_no, request.title, message.body)
+        # What plays already is never set up: its description, of up to 16 KiB, is not kept.
+        description = message.body if playing_at is None else b""
+        client = ClientSession(session, viewer, class_no, request.title, description)
         self.sessions[session] = client
         if playing_at is None:
             if len(viewer.open) >= OPEN_MOST:
--- a/otterglade/node/messages.py
+++ b/otterglade/node/messages.py
@@ -14,7 +14,7 @@
 EXCHANGE, LOAD = b"rtsp://media/exchange", b"rtsp://media/load"
 TITLE = re.compile(rb"rtsp://media/([0-9a-f]{16})\Z")
 NUMBER = re.compile(rb"[0-9]{1,10}(?:\.[0-9]{1,6})?\Z")
-COUNT = re.compile(rb"[0-9]{1,4}\Z")
+COUNT = re.compile(rb"[0-9]{1,5}\Z")
 HOST_NAME = re.compile(rb"[0-9A-Za-z][0-9A-Za-z-]{0,62}\Z")
 LOADED = re.compile(rb"([0-9A-Za-z_]+):([0-9]{1,9}(?:\.[0-9]{1,9})?)\Z")
 LONGEST = 4_294_967.296
@@ -51,10 +51,10 @@
         raise BadRequestError("address: no title")
     if message.fields.get(b"cseq") != b"1":
         raise BadRequestError("CSeq: 1 expected")
-    try:
-        class_no = classes.index(message.fields.get(b"x-tier", b"").decode("latin-1"))
-    except ValueError:
-        raise BadRequestError("X-Tier: no such class") from None
+    class_no = _index(message.fields.get(b"x-tier", b""), classes)
+    if class_no is None:
+        raise BadRequestError("X-Tier: no such class")
+    tenant = _tenant(message.fields.get(b"x-tenant"), settings)
     patience = _number(message.fields.get(b"x-deadline"), "X-Deadline") / MS
     if not 0 < patience <= LONGEST:
         raise BadRequestError("X-Deadline: out of range")
@@ -77,12 +77,32 @@
     if where is not None and not HOST_NAME.match(where):
         raise BadRequestError("X-Attrs: at names no host")
     request = api.SessionRequest(
-        session=0, class_no=class_no, tenant=0, title=title[1].decode("ascii"), patience=patience,
+        session=0, class_no=class_no, tenant=tenant, title=title[1].decode("ascii"), patience=patience,
         hint=length, home=home, holders=holders, top=top, again=attrs.get(b"again") == b"1",
     )  # fmt: skip
     return request, where.decode("ascii") if where is not None else None
 
 
+def _index(value: bytes, names: Sequence[str]) -> int | None:
+    """Which of the settings' names a field holds; bytes that are no ASCII may be of either coding."""
+    for coding in ("utf-8", "latin-1"):
+        try:
+            return names.index(value.decode(coding))
+        except ValueError:
+            continue
+    return None
+
+
+def _tenant(value: bytes | None, settings: api.Settings) -> int:
+    """The tenant of a request, 0 where it names none or the site has none."""
+    if value is None or not settings.tenants:
+        return 0
+    tenant = _index(value, [x.name for x in settings.tenants])
+    if tenant is None:
+        raise BadRequestError("X-Tenant: no such tenant")
+    return tenant
+
+
 def _attrs(text: bytes | None) -> dict[bytes, bytes]:
     found: dict[bytes, bytes] = {}
     for part in text.split(b";") if text else ():
--- a/tests/test_node_messages.py
+++ b/tests/test_node_messages.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import pytest
 
 from otterglade.core import interface as api
+from otterglade.core.settings import CELLS_MOST, Tree, settings_of
 from otterglade.node import messages
 from otterglade.wire import rtsp
 
+from .platform import set_up, settings
+
 
 def read(wire: bytes) -> rtsp.Message:
     reader = rtsp.Reader()
@@ -26,3 +31,51 @@
 def test_gauges_that_cannot_be_read_are_no_report(text: bytes) -> None:
     told = read(rtsp.response(200, ((b"Session", b"0" * 16), (b"X-Gauges", text))))
     assert messages.load_of(told) is None
+
+
+# What a site names
+
+
+def request(**changes: bytes) -> rtsp.Message:
+    head, _, body = set_up(b"0" * 16, **changes).partition(b"\r\n\r\n")
+    return read(head + b"\r\nX-Tenant: k\xc3\xa4serei\r\n\r\n" + body)
+
+
+def site(**changes: Any) -> api.Settings:
+    return settings_of(Tree(settings(tenants=[{"name": "a"}, {"name": "k\u00e4serei"}]) | changes))
+
+
+@pytest.mark.parametrize("coding", ["utf-8", "latin-1"])
+def test_a_class_is_known_by_its_name_in_either_coding(coding: str) -> None:
+    names = ("4k", "k\u00e4se, =1", "a.b-c")
+    for class_no, name in enumerate(names):
+        found, _ = messages.set_up(request(class_no=name.encode(coding)), names, site())
+        assert found.class_no == class_no
+    with pytest.raises(messages.BadRequestError, match="X-Tier"):
+        messages.set_up(request(class_no=b"\xff\xfe"), names, site())
+
+
+def test_a_tenant_is_known_by_its_name() -> None:
+    assert messages.set_up(request(), ("free",), site())[0].tenant == 1
+    assert messages.set_up(request(), ("free",), site(tenants=[]))[0].tenant == 0
+    assert messages.set_up(read(set_up(b"0" * 16)), ("free",), site())[0].tenant == 0
+    with pytest.raises(messages.BadRequestError, match="X-Tenant"):
+        messages.set_up(request(), ("free",), site(tenants=[{"name": "a"}]))
+
+
+def test_rows_may_be_as_long_as_the_site_has_cells() -> None:
+    given = settings(family_info__cells=CELLS_MOST)
+    attrs = b"home:%d;copies:%d;top:2" % (CELLS_MOST - 1, CELLS_MOST)
+    found, _ = messages.set_up(read(set_up(b"0" * 16, attrs=attrs)), ("free",), settings_of(Tree(given)))
+    assert (found.home, found.holders) == (CELLS_MOST - 1, CELLS_MOST)
+
+
+@pytest.mark.parametrize("left_out", [b"X-Attrs", b"X-Deadline", b"X-Tier", b"CSeq", b"Expected-Ms"])
+def test_of_a_set_ups_fields_only_the_hint_may_be_left_out(left_out: bytes) -> None:
+    lines = set_up(b"0" * 16).split(b"\r\n")
+    message = read(b"\r\n".join(x for x in lines if not x.startswith(left_out)))
+    if left_out == b"Expected-Ms":
+        assert messages.set_up(message, ("free",), site())[0].hint is None
+        return
+    with pytest.raises(messages.BadRequestError, match=left_out.decode()):
+        messages.set_up(message, ("free",), site())
