Media hosts: a gate before the first byte, no set-up on a closing connection, late lists

- Hosts.listed closed a host before it took its new address: what had not left went to the old address, perhaps another host's.
- Nothing asked again before a set-up's first byte left: a connection that comes up late and a resend after it together pass the grace of a drain.
The core hears the list before it hears of that: the other way round it sent the same set-up to the next draining host.
- Channel.stale said False for unread bytes: set-ups went out behind half an answer.
- A hand-over at a host that the list does not name yet is held 1.7 s, where it was released at once; an end that its host told before the hand-over ends it at once.

--- a/otterglade/net/reactor.py
+++ b/otterglade/net/reactor.py
@@ -215,11 +215,12 @@
         if self.closed or not self.up:
             return self.closed
         try:
-            return not self._sock.recv(1, socket.MSG_PEEK)
+            self._sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
             return False
         except OSError:
             return True
+        return True
 
     def _event(self, events: int) -> None:
         if self.closed:
--- a/otterglade/node/gateway.py
+++ b/otterglade/node/gateway.py
@@ -19,6 +19,7 @@
 from .config import Config, ConfigError, load
 from .discovery import Discovery
 from .frontend import ClientSession, Frontend
+from .handovers import PendingHandOvers
 from .hosts import Attempt, Host, Hosts, Stands
 
 SWEEP = 0.25
@@ -50,7 +51,8 @@
         self._stopping: float | None = None
         self._room = max(32, config.sockets - SPARE)
         self._links = links = self._room // HOSTS_PART
-        self.hosts = Hosts(reactor, self, settings.connect_timeout, links, say)
+        self.hosts = Hosts(reactor, self, settings.connect_timeout, links, say, settings.idle_close)
+        self.hand_overs = PendingHandOvers()
         self._event(self.setups.start)
         self._list(config.hosts)
         self.frontend = Frontend(
@@ -171,28 +173,40 @@
 
     def _handed_over(self, client: ClientSession, request: api.SessionRequest, name: str) -> None:
         number = self.setups.hosts.get(name)
+        if number is None and self.hand_overs.hold(self.reactor.clock(), client, request, name):
+            return  # the list that names its host may be on its way
         host = None if number is None else self.hosts.by_number.get(number)
         if host is None or host.gone:
-            # Its host is not in the list: nobody could tell its end, so it is over now.
-            self.frontend.tell(client, messages.release(client.session, 41))
-            self.frontend.forget(client)
+            # Its host has left the list: nobody could tell its end, so it is over now.
+            self._release_handed_over(client)
             return
 
         def told(now: float) -> list[setups.Order]:
             session, orders = self.setups.handed_over(now, request, host.number)
             client.number = session
             self._sessions[session] = client
-            host.hold(client.session, Stands(session, 0, now))
+            host.take_over(client.session, Stands(session, 0, now))
             return orders
 
         self._event(told)
 
+    def _release_handed_over(self, client: ClientSession) -> None:
+        self.frontend.tell(client, messages.release(client.session, 41))
+        self.frontend.forget(client)
+
     def left(self, client: ClientSession) -> None:
         if client.number:
             self._event(lambda now: self.setups.gone(now, client.number))
+        elif self.hand_overs.left(client):
+            self.frontend.forget(client)
 
     # From hosts
 
+    def wanted(self, number: int) -> bool:
+        """Whether a set-up is open still and its viewer waits for it."""
+        setup = self.setups.open.get(number)
+        return setup is not None and not setup.gone
+
     def attempt_stands(self, number: int, attempt: int, description: bytes) -> None:
         self._descriptions[number] = description
         self._event(lambda now: self.setups.plays(now, number, attempt))
@@ -220,8 +234,25 @@
         zones, kinds = self.config.zones, self.config.kinds
         entries = [messages.entry_of(x, n, zones, kinds) for n, x in numbered.items()]
         started = {x.server: x.started for x in entries}
-        self.hosts.listed({n: (x.name, (x.address, x.port), started[n]) for n, x in numbered.items()})
-        self._event(lambda now: self.setups.listed(now, entries))
+        listed = {n: (x.name, (x.address, x.port), started[n], x.draining) for n, x in numbered.items()}
+
+        def told(now: float) -> list[setups.Order]:
+            # What ends with the list is told after it: the core would send it to the same host again.
+            self.hosts.listed(listed)
+            return self.setups.listed(now, entries)
+
+        self._event(told)
+        self._event(lambda now: self._named({x.name for x in hosts}))
+
+    def _named(self, names: set[str]) -> list[setups.Order]:
+        """Hand-overs that have waited for these hosts."""
+        for held in self.hand_overs.named(names):
+            host = self.hosts.by_number[self.setups.host(held.host)]
+            if held.left:
+                host.cut(held.client.session)
+            else:
+                self._handed_over(held.client, held.request, held.host)
+        return []
 
     # Signals and time
 
@@ -246,6 +277,9 @@
         now = self.reactor.clock()
         self.reactor.at(now + SWEEP, self._sweep)
         self.hosts.sweep()
+        for held in self.hand_overs.late(now):
+            if not held.left:
+                self._release_handed_over(held.client)
         # Many hosts with a control connection each may need more than their part.
         self.frontend.most = self._room - max(self._links, self.hosts.count())
         self.frontend.sweep()
--- /dev/null
+++ b/otterglade/node/handovers.py
@@ -0,0 +1,67 @@
+"""Sessions that were handed over at a media host which the list does not name yet.
+
+The list may come after the hand-over. To release such a session at once would end one that plays, and leave
+it standing at its host.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from dataclasses import dataclass
+
+from ..core import interface as api
+from .frontend import ClientSession
+
+HELD_FOR = 1.7
+"""Seconds for which a hand-over waits for its host. A list comes at the latest 1.5 s after its event, and
+what is handed over counts 0.2 s later. Not longer: most hosts that no list names have left, and what stood
+there is to be released within 8 s of an end that may have come while this gateway was down."""
+HELD_MOST = 512
+"""Hand-overs held: each is named by whoever connects, and may name hosts that will never be."""
+
+
+@dataclass(slots=True, eq=False)
+class HandOver:
+    """One that waits for its host."""
+
+    client: ClientSession
+    request: api.SessionRequest
+    host: str
+    until: float
+    left: bool = False
+    """Its viewer has ended it: it is cut at its host."""
+
+
+class PendingHandOvers:
+    """The book of them, by session."""
+
+    def __init__(self) -> None:
+        self._held: dict[bytes, HandOver] = {}
+
+    def hold(self, now: float, client: ClientSession, request: api.SessionRequest, host: str) -> bool:
+        """False: too many are held."""
+        if len(self._held) >= HELD_MOST and client.session not in self._held:
+            return False
+        self._held[client.session] = HandOver(client, request, host, now + HELD_FOR)
+        return True
+
+    def left(self, client: ClientSession) -> bool:
+        """A viewer has ended a session; False: it is not held here."""
+        held = self._held.get(client.session)
+        if held is None or held.client is not client:
+            return False
+        held.left = True
+        return True
+
+    def named(self, hosts: Collection[str]) -> list[HandOver]:
+        """Those whose host the list names now; they are held no longer."""
+        return self._take([x for x in self._held.values() if x.host in hosts])
+
+    def late(self, now: float) -> list[HandOver]:
+        """Those that have waited for long enough; they are held no longer."""
+        return self._take([x for x in self._held.values() if x.until <= now])
+
+    def _take(self, found: list[HandOver]) -> list[HandOver]:
+        for held in found:
+            del self._held[held.client.session]
+        return found
--- a/tests/platform.py
+++ b/tests/platform.py
@@ -19,6 +19,8 @@
 from pathlib import Path
 from typing import Any
 
+from otterglade.core import interface as api
+from otterglade.net.reactor import Reactor
 from otterglade.wire import rtsp
 
 WAIT = 10.0
@@ -407,6 +409,46 @@
     return rtsp.request(b"OPTIONS", b"rtsp://media/ping", [(b"CSeq", b"3"), (b"Session", session)])
 
 
+class HostsOwner:
+    """Who is told what hosts say: all of it is kept."""
+
+    def __init__(self) -> None:
+        self.unwanted: set[int] = set()
+        self.stands: list[int] = []
+        self.ended: list[tuple[int, int, api.Outcome]] = []
+        self.probes: list[api.Outcome] = []
+
+    def wanted(self, number: int) -> bool:
+        return number not in self.unwanted
+
+    def attempt_stands(self, number: int, attempt: int, description: bytes) -> None:
+        self.stands.append(number)
+
+    def attempt_ended(self, number: int, attempt: int, outcome: api.Outcome, load: api.Load | None) -> None:
+        self.ended.append((number, attempt, outcome))
+
+    def noted(self, server: int, number: int | None, message: rtsp.Message) -> None:
+        raise AssertionError("nobody notes anything here")
+
+    def probed(self, server: int, outcome: api.Outcome, took: float, load: api.Load | None) -> None:
+        self.probes.append(outcome)
+
+
+class Stepped:
+    """A reactor that the test turns, with a clock that it can set on."""
+
+    def __init__(self) -> None:
+        self.ahead = 0.0
+        self.reactor = Reactor(lambda: time.time() + self.ahead)
+
+    def until(self, done: Callable[[], object]) -> None:
+        """Turn until something is so."""
+        limit = time.time() + WAIT
+        while not done():
+            assert time.time() < limit, "what was waited for has not come"
+            self.reactor.turn(0.02)
+
+
 @contextlib.contextmanager
 def platform(
     folder: Path, hosts: int = 3, act: Callable[[Got], None] = good, **given: Any
