Discovery: no descriptor ends the process, one empty answer ends no session, serials wrap

An older list counted as a good answer, so the next question came late. One newer list without hosts was believed at once: now another question has to say so too. Serials were compared as plain numbers, so one odd answer near 2^32 shut out all later lists: RFC 1982. A turn reads 32 answers at most. With settings that have the gateway ask for its list the start ended with AttributeError: discovery is made first.

Open: a clock set back holds all timers up.

--- a/otterglade/node/discovery.py
+++ b/otterglade/node/discovery.py
@@ -2,6 +2,10 @@
 
 An event counts as told at the latest 1.5 s after it happened, however answers fare, so it is asked often
 enough that two answers in a row may be lost.
+
+Serials are compared as RFC 1982 says. A lower one is an older list for good, also after a new configuration:
+the numbers go on. One list without any host may be an odd answer, and would end every session: it is
+believed once the answer to another question says so too.
 """
 
 from __future__ import annotations
@@ -21,6 +25,13 @@
 """Seconds until the next question where an answer was none, or has not come."""
 KEPT = 8
 """Questions whose answers are still read: an answer may come after the next question."""
+READS = 32
+"""Datagrams read in one turn; the others wait for the next, behind everyone else."""
+
+
+def newer(serial: int, held: int) -> bool:
+    """Whether a serial follows the one held, in 32 bits (RFC 1982, section 3.2)."""
+    return 0 < (serial - held) % (1 << 32) < 1 << 31
 
 
 class Discovery:
@@ -40,6 +51,8 @@
         self._sock: socket.socket | None = None
         self._asked: OrderedDict[int, None] = OrderedDict()
         self._same = b""
+        self._emptied = False
+        """A newer list without any host was heard once, and another question asked."""
         self._due = 0.0
         self._answered = True
         self._failing = False
@@ -53,17 +66,20 @@
         self._ask()
 
     def _open(self) -> None:
-        if self._sock is not None:
+        """A socket for the resolver's address; where there is none, the next question tries again."""
+        if self._sock is not None:  # closed first: its descriptor is the new one's where there are no others
             self._reactor.forget(self._sock.fileno())
             self._sock.close()
             self._sock = None
-        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sock = None
         try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
             sock.setblocking(False)
             sock.connect(self._resolver)  # the kernel drops what comes from anywhere else
             self._reactor.watch(sock.fileno(), self._ready)
         except OSError as error:
-            sock.close()
+            if sock is not None:
+                sock.close()
             self._fails(f"can't be asked: {error}")
             return
         self._sock = sock
@@ -73,15 +89,16 @@
         """Ask now, beside the usual questions."""
         if self._sock is None:
             self._open()  # forgets what was asked before
+        if self._sock is None:
+            return
         number = int.from_bytes(os.urandom(2), "big")
         self._asked[number] = None
         while len(self._asked) > KEPT:
             self._asked.popitem(last=False)
-        if self._sock is not None:
-            try:
-                self._sock.send(dns.query(number, NAME))
-            except OSError as error:
-                self._fails(f"can't be asked: {error}")
+        try:
+            self._sock.send(dns.query(number, NAME))
+        except OSError as error:
+            self._fails(f"can't be asked: {error}")
 
     def _ask(self) -> None:
         now = self._reactor.clock()
@@ -94,7 +111,9 @@
         self._reactor.at(when, lambda: self._ask() if self._due == when else None)
 
     def _ready(self, events: int) -> None:
-        while self._sock is not None:
+        for _ in range(READS):
+            if self._sock is None:
+                return
             try:
                 data = self._sock.recv(dns.ANSWER_MOST + 1)
             except BlockingIOError:
@@ -116,12 +135,22 @@
         except dns.DnsError as error:
             self._fails(f"{type(error).__name__}: {error}")
             return
+        if found.serial == self.serial:
+            self._same = data[2:]
+        elif not newer(found.serial, self.serial):
+            self._fails(f"an older list: {found.serial}, held is {self.serial}")
+            return
+        elif not found.hosts and not self._emptied:
+            del self._asked[number]  # the same answer, come twice, must not confirm itself
+            self._emptied = True
+            self._fails("a list without any host")
+            self.ask()
+            return
+        self._emptied = False
         self._well(number)
-        if found.serial > self.serial:
+        if found.serial != self.serial:
             self.serial, self._same = found.serial, data[2:]
             self._told(found)
-        elif found.serial == self.serial:
-            self._same = data[2:]
 
     def _well(self, number: int) -> None:
         del self._asked[number]
--- a/otterglade/node/gateway.py
+++ b/otterglade/node/gateway.py
@@ -53,14 +53,14 @@
         self._links = links = self._room // HOSTS_PART
         self.hosts = Hosts(reactor, self, settings.connect_timeout, links, say, settings.idle_close)
         self.hand_overs = PendingHandOvers()
-        self._event(self.setups.start)
+        self.discovery = Discovery(
+            reactor, config.resolver, config.serial, lambda x: self._list(x.hosts), say
+        )
+        self._event(self.setups.start)  # may order a question to the name service
         self._list(config.hosts)
         self.frontend = Frontend(
             reactor, config.listen, self, settings, config.classes, self._room - links, say
         )
-        self.discovery = Discovery(
-            reactor, config.resolver, config.serial, lambda x: self._list(x.hosts), say
-        )
         reactor.at(reactor.clock() + SWEEP, self._sweep)
 
     # Events and orders
