--- a/otterglade/cli/main.py
+++ b/otterglade/cli/main.py
@@ -49,9 +49,9 @@
 
 @main.command()
 @click.argument("file", type=click.Path(path_type=Path))
-@click.option("--plant", default="", hidden=True, help="Break a rule on purpose, for the referee's tests.")
+@click.option("--conditions", default="", hidden=True, help="What a day of the lab asks of it.")
 @click.option("--counted", is_flag=True, hidden=True, help="Count what is synced, for the lab's power loss.")
-def run(file: Path, plant: str, counted: bool) -> None:
+def run(file: Path, conditions: str, counted: bool) -> None:
     """Run a gateway with the configuration script FILE until SIGTERM."""
     from ..gateway import lifecycle
     from ..gateway.daemon import Gateway
@@ -71,13 +71,13 @@
             gateway = Gateway(config, log)
     except OSError as error:
         raise click.ClickException(f"{file}: gateway can't start: {error}") from error
-    if plant:
-        from ..lab import plants
+    if conditions:
+        from ..lab.conditions import CONDITIONS
 
-        for name in plant.split(","):
-            if name not in plants.NAMES:
-                raise click.ClickException(f"--plant: found {name!r}; known are {', '.join(plants.NAMES)}")
-            plants.plant(gateway, name)
+        for name in conditions.split(","):
+            if name not in CONDITIONS:
+                raise click.ClickException(f"--conditions: found {name!r}; known are {', '.join(CONDITIONS)}")
+            CONDITIONS[name](gateway)
     asked = _signals()
     try:
         gateway.start()
@@ -198,10 +198,9 @@
 @click.option("--json", "as_json", is_flag=True, help="End with one line of JSON.")
 @click.option("--keep", type=click.Path(path_type=Path), help="Keep records and logs in this folder.")
 @click.option("--gateways", type=click.IntRange(1, 400), help="Of a built-in scenario; 2, or 5.")
-@click.option("--plant", default="", hidden=True)
 def day(
     scenario: str, day_file: Path | None, seconds: float | None, seed: int, as_json: bool, keep: Path | None,
-    gateways: int | None, plant: str,
+    gateways: int | None,
 ) -> None:  # fmt: skip
     """Play SCENARIO on loopback and judge the six rules from what passed on the sockets; exit 1 if one broke.
 
@@ -216,7 +215,7 @@
     if keep is not None and keep.exists() and any(keep.iterdir()):
         raise click.ClickException(f"--keep: {keep} is not empty")
     try:
-        played = campaign.play_kept(plan, seed, keep, plant)
+        played = campaign.play_kept(plan, seed, keep)
     except StageError as error:
         raise click.ClickException(str(error)) from error
     click.echo(days.table(plan, played.verdict))
--- a/otterglade/lab/campaign.py
+++ b/otterglade/lab/campaign.py
@@ -13,6 +13,7 @@
 from .costs import Costs
 from .day import play
 from .scenarios import Day
+from .stage import PROGRAM
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,14 +27,14 @@
     """Where its records are; None: it kept every rule, and they are gone."""
 
 
-def play_kept(day: Day, seed: int, keep: Path | None = None, plant: str = "") -> Played:
+def play_kept(day: Day, seed: int, keep: Path | None = None, program: tuple[str, ...] = PROGRAM) -> Played:
     """Play a day; its records stay where it broke a rule, or where `keep` names a folder for them.
 
     Raises StageError where a process does not come up; the folder stays then too, and the error names it.
     """
     folder = keep or Path(tempfile.mkdtemp(prefix=f"otterglade-{day.name}-{seed}-"))
     costs = Costs()
-    verdict = play(day, folder, seed, plant, costs.watch if day.layout.voters else None)
+    verdict = play(day, folder, seed, costs.watch if day.layout.voters else None, program)
     verdict.figures |= costs.figures()
     if keep is None and not verdict.findings:
         shutil.rmtree(folder)
--- a/otterglade/lab/day.py
+++ b/otterglade/lab/day.py
@@ -19,7 +19,7 @@
 from ..standins.player import ClassSpec, PlayersSpec
 from . import troubles
 from .scenarios import Day, Trouble
-from .stage import Layout, Stage
+from .stage import PROGRAM, Layout, Stage
 
 
 def rules_of(layout: Layout) -> Rules:
@@ -178,15 +178,18 @@
 
 
 def play(
-    day: Day, folder: Path, seed: int, plant: str = "", watch: Callable[[Stage], None] | None = None
+    day: Day,
+    folder: Path,
+    seed: int,
+    watch: Callable[[Stage], None] | None = None,
+    program: tuple[str, ...] = PROGRAM,
 ) -> Verdict:
     """Play a day in a folder, which keeps all records and logs; judged when all has ended. `watch` looks on
     from a thread of its own.
 
     Raises StageError where a process does not come up.
     """
-    planted = ",".join(x for x in (day.plant, plant) if x)
-    stage = Stage(day.layout, folder, seed, planted, counted=day.layout.peers)
+    stage = Stage(day.layout, folder, seed, day.conditions, counted=day.layout.peers, program=program)
     order = itertools.count()
     heap: list[tuple[float, int, Callable[[], None]]] = []
 
--- a/otterglade/lab/scenarios.py
+++ b/otterglade/lab/scenarios.py
@@ -40,8 +40,8 @@
     surges: tuple[tuple[float, float, float], ...] = ()
     unmapped: tuple[str, ...] = ()
     """What of a bench day could not be put on sockets, and why."""
-    plant: str = ""
-    """What its gateways have planted, as for a stage: work whose state changes all the time."""
+    conditions: str = ""
+    """Of its gateways, as for a stage: work whose state changes all the time."""
 
 
 TWO = Layout(gateways=2)
@@ -176,7 +176,9 @@
         troubles.append(bag[n % len(bag)](at))
         if draw.random() < 0.3:  # two at once, where one alone would be borne
             troubles.append(bag[(n + 5) % len(bag)](at + draw.uniform(0.0, 1.5)))
-    return Day("owner", layout, seconds, 3.0, (2.0, 5.0), tuple(troubles), plant="busy-duty,clock-ahead@1")
+    return Day(
+        "owner", layout, seconds, 3.0, (2.0, 5.0), tuple(troubles), conditions="busy-duty,clock-ahead@1"
+    )
 
 
 def _with_voters(layout: Layout) -> Layout:
--- a/otterglade/lab/stage.py
+++ b/otterglade/lab/stage.py
@@ -169,6 +169,10 @@
         self.child.wait()
 
 
+PROGRAM = ("otterglade.cli.main",)
+"""Module of the command line."""
+
+
 @dataclass(slots=True)
 class Stage:
     """Starts and ends the processes; the folder holds their records, configurations and logs."""
@@ -176,9 +180,10 @@
     layout: Layout
     folder: Path
     seed: int = 1
-    plant: str = ""
-    """Faults planted in the gateways, with commas between; NAME@NUMBER: in that one alone. Proof that the
-    referee sees them."""
+    conditions: str = ""
+    """Conditions of the gateways, with commas between; NAME@NUMBER: of that one alone."""
+    program: tuple[str, ...] = PROGRAM
+    """Module that is run as a gateway, and what its arguments begin with: tests run one with faults."""
     listen: str = "127.0.0.1:0"
     """Of the first gateway."""
     processes: list[Process] = field(default_factory=list)
@@ -212,11 +217,11 @@
     def _links_failed(self, thread: str, error: BaseException) -> None:
         self.record.write("links_failed", cause=f"{thread}: {error!r}")
 
-    def _spawn(self, name: str, *arguments: str) -> Process:
+    def _spawn(self, name: str, *arguments: str, program: tuple[str, ...] = PROGRAM) -> Process:
         out_path = self.folder / f"{name}.ready"
         with out_path.open("wb") as out, (self.folder / f"{name}.log").open("ab") as log:
             child = subprocess.Popen(
-                [sys.executable, "-m", "otterglade.cli.main", *arguments],
+                [sys.executable, "-m", *program, *arguments],
                 stdin=subprocess.DEVNULL, stdout=out, stderr=log, env=os.environ | {"PYTHONHASHSEED": "0"},
             )  # fmt: skip
         process = Process(name, child, "")
@@ -292,7 +297,8 @@
         path = self.folder / f"gateway-{number}.star"
         state = self.folder / f"gateway-{number}.state"
         path.write_text(self._script(number, str(state), listen))
-        return self._spawn(f"gateway-{number}-{life}", "run", str(path), *self._options(number))
+        name, options = f"gateway-{number}-{life}", self._options(number)
+        return self._spawn(name, "run", str(path), *options, program=self.program)
 
     def _script(self, number: int, state: str, listen: str) -> str:
         assert self.registry is not None, "started before"
@@ -303,9 +309,9 @@
         )  # fmt: skip
 
     def _options(self, number: int) -> list[str]:
-        here = [x.partition("@") for x in self.plant.split(",") if x]
+        here = [x.partition("@") for x in self.conditions.split(",") if x]
         mine = ",".join(name for name, _, at in here if at in ("", str(number)))
-        return (["--plant", mine] if mine else []) + (["--counted"] if self.counted else [])
+        return (["--conditions", mine] if mine else []) + (["--counted"] if self.counted else [])
 
     def _gateway_up(self, number: int, process: Process) -> None:
         self.gateways[number] = self._ready(process)
--- a/otterglade/lab/plants.py
+++ b/tests/planted_gateway.py
@@ -1,32 +1,37 @@
 """Faults planted in a gateway on purpose, one for each rule: proof that the referee sees what it judges.
 
-All but one wrap the module and spoil what passes between it and the desk. Nothing here is reachable but by
-the hidden option of `otterglade run`.
+    python -m tests.planted_gateway NAME[,NAME] run FILE
+    python -m tests.planted_gateway NAME[,NAME] day SCENARIO ...
+
+All but a few wrap the module and spoil what passes between it and the desk. The command is
+`otterglade`'s own; of a day every gateway has the faults.
 """
 
 from __future__ import annotations
 
+import functools
 import itertools
 import math
 import os
 import signal
-import time
-from collections.abc import Callable, Sequence
+import sys
+from collections.abc import Callable
 from dataclasses import replace
-
-from ..core import budget as window
-from ..core import interface as api
-from ..core import messages as d
-from ..core.desk import Desk
-from ..core.fleet.editions import Book
-from ..core.fleet.register import Proposer
-from ..core.fleet.routes import Routes
-from ..core.fleet.work import Order
-from ..core.messages import Reply, SetUp
-from ..core.policy import Controller
-from ..core.sessions import Decider
-from ..gateway.daemon import Gateway
-from ..gateway.duties import digest
+from typing import Any
+
+from otterglade.cli.main import main
+from otterglade.core import budget as window
+from otterglade.core import interface as api
+from otterglade.core.fleet.editions import Book
+from otterglade.core.fleet.register import Proposer
+from otterglade.core.fleet.routes import Routes
+from otterglade.core.messages import Reply, SetUp
+from otterglade.core.policy import Controller
+from otterglade.core.sessions import Decider
+from otterglade.gateway import daemon
+from otterglade.gateway.daemon import Gateway
+from otterglade.lab import campaign
+from otterglade.lab.stage import PROGRAM
 
 
 class _Planted:
@@ -107,60 +112,6 @@
 }  # fmt: skip
 
 
-class Counter:
-    """A duty's work whose state changes at each decision, and which does nothing."""
-
-    name = "counter"
-    lasting = True
-
-    def own(self, now: float) -> bytes:
-        return b""
-
-    def join(self, parts: Sequence[bytes]) -> bytes:
-        return b""
-
-    def decide(self, now: float, state: bytes, told: bytes) -> bytes:
-        return b"%d" % (int(state or b"0") + 1)
-
-    def obey(self, now: float, order: Order) -> None:
-        """What it leads to is told by `_act`."""
-
-    def lapsed(self, now: float) -> None:
-        """Without an order there is nothing to go on with."""
-
-    def recall(self, now: float, order: Order) -> None:
-        """An order of before is not acted on."""
-
-
-ACTS = 0.05
-"""Seconds between two acts under the counter's order."""
-
-
-def _busy_duty(gateway: Gateway) -> None:
-    """A duty that is never idle, and acts by its order all the time, each act in the log."""
-    peers = gateway.peers
-    if peers is None:
-        return
-    peers.works.append(Counter())
-    start = peers.start
-
-    def act(desk: Desk, now: float) -> list[d.Order]:
-        order = peers.order(Counter.name, now)
-        if order is not None:
-            gateway.log.debug(
-                "acted", t=now, duty=order.duty, term=order.term, number=order.number,
-                state=digest(order.state),
-            )  # fmt: skip
-        gateway.loop.at(now + ACTS, act)
-        return []
-
-    def start_and_act() -> None:
-        start()
-        gateway.loop.put(act)
-
-    peers.start = start_and_act  # type: ignore[method-assign]
-
-
 def _late_owner(gateway: Gateway) -> None:
     """Whoever owns a duty believes so until somebody tells it otherwise: its lease never runs out."""
     lapse = Proposer.lapse
@@ -186,17 +137,9 @@
     Routes._act = forestall  # type: ignore[method-assign]
 
 
-def _clock_ahead(gateway: Gateway) -> None:
-    """This process's wall clock is an hour ahead of the others'."""
-    real = time.time
-    time.time = lambda: real() + 3600.0
-
-
 KILLS = ("kill-before-write", "kill-after-write", "kill-after-answer")
 """Steps of a paid attempt at which the process ends at once, as by kill -9."""
 DAEMONS: dict[str, Callable[[Gateway], None]] = {
-    "busy-duty": _busy_duty,
-    "clock-ahead": _clock_ahead,
     "late-owner": _late_owner,
     "own-rules": _own_rules,
 }
@@ -251,3 +194,29 @@
     gateway.desk.controller = MODULES[name](gateway.desk.settings, 1)
     if name == "budget":  # the desk holds to it as well
         gateway.desk.budget = window.Budget(replace(gateway.desk.settings, budget_window=0.0))
+
+
+def program(names: str) -> tuple[str, ...]:
+    """What a stage runs as its gateways, with faults planted; without names, the gateway as it is."""
+    return ("tests.planted_gateway", names) if names else PROGRAM
+
+
+def _spoil(names: str) -> None:
+    """Have every gateway of this process made with the faults. Raises SystemExit for an unknown name."""
+    unknown = [x for x in names.split(",") if x not in NAMES]
+    if unknown:
+        sys.exit(f"planted: found {unknown[0]!r}; known are {', '.join(NAMES)}")
+
+    def made(*args: Any, **kinds: Any) -> Gateway:
+        gateway = Gateway(*args, **kinds)
+        for name in names.split(","):
+            plant(gateway, name)
+        return gateway
+
+    daemon.Gateway = made  # type: ignore[misc, assignment]
+    campaign.play_kept = functools.partial(campaign.play_kept, program=program(names))  # type: ignore[assignment]
+
+
+if __name__ == "__main__":
+    _spoil(sys.argv[1])
+    main(sys.argv[2:])
--- a/otterglade/interleave/plants.py
+++ b/tests/planted_threads.py
@@ -5,8 +5,8 @@
 
 from dataclasses import dataclass
 
-from .search import Found
-from .subjects import BY_NAME
+from otterglade.interleave.search import Found
+from otterglade.interleave.subjects import BY_NAME
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_day_duties.py
+++ b/tests/test_day_duties.py
@@ -25,6 +25,8 @@
 from otterglade.referee import duties, editions, lanes
 from otterglade.referee.records import Records, load
 
+from .planted_gateway import program
+
 STAGE = replace(FIVE, hosts=1, racks=1, titles=1, voters=5, log="debug")
 NEW_OWNER = 8.0
 """Seconds within which another owns a duty, on a busy machine: a lease, an order's hold, a turn."""
@@ -34,9 +36,11 @@
 
 
 @contextmanager
-def five(folder: Path, plant: str = "busy-duty", layout: Layout = STAGE) -> Iterator[Stage]:
+def five(
+    folder: Path, conditions: str = "busy-duty", layout: Layout = STAGE, plant: str = ""
+) -> Iterator[Stage]:
     """Five gateways with a duty whose state changes all the time, and no players."""
-    stage = Stage(layout, folder, 1, plant, counted=True)
+    stage = Stage(layout, folder, 1, conditions, counted=True, program=program(plant))
     (folder / "players.jsonl").touch()
     try:
         stage.start()
@@ -216,7 +220,7 @@
 
 @pytest.mark.long
 def test_an_owner_that_gives_orders_after_its_lease_is_found(tmp_path: Path) -> None:
-    with five(tmp_path, "busy-duty,late-owner") as stage:
+    with five(tmp_path, plant="late-owner") as stage:
         first = seen(stage.owner, 10.0, "an owner")
         acts = DutyActs(stage, lambda *_: None, set())
         acts.carry(Trouble(0.0, "owner_split", 0, 1.0, groups=(0.4, 0.6)))
--- a/tests/test_interleave.py
+++ b/tests/test_interleave.py
@@ -11,11 +11,12 @@
 from otterglade.cli.main import main
 from otterglade.interleave import controlled, report, schedule
 from otterglade.interleave.linear import Call, linearizable
-from otterglade.interleave.plants import PLANTS, Plant
 from otterglade.interleave.scene import Check, Scene, Subject, need
 from otterglade.interleave.scheduler import ScheduleError
 from otterglade.interleave.search import Bounds
 
+from .planted_threads import PLANTS, Plant
+
 ANY = Bounds(preemptions=None)
 
 
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -28,6 +28,7 @@
 from otterglade.standins.record import read
 
 from .house import SMALL, House, until
+from .planted_gateway import program
 
 PLANTED = {
     "lost": ("quiet", 5.0), "twice": ("answer-lost", 12.0), "drain": ("drain", 12.0), "cold": ("crash", 12.0),
@@ -43,7 +44,7 @@
     # At the day's own share two to six set-ups met the fault, and one run in some thirty none.
     troubles = tuple(replace(x, value=0.9) if x.kind == "answer_lost" else x for x in day.troubles)
     day = replace(day, rate=12.0, layout=layout, watch=(1.0, 3.0), troubles=troubles)
-    return play(day, folder, 11, plant=rule)
+    return play(day, folder, 11, program=program(rule))
 
 
 @pytest.mark.long
@@ -68,7 +69,7 @@
     """A viewer's paid set-up has run at gateway 0 and nobody was told; the power goes at all hosts and these
     gateways, some of which come back; he comes to gateway 1. What he is told, and how often he is charged."""
     layout = replace(FIVE, gateways=3, hosts=2, titles=1, holders=2, late_list=0.1)
-    stage = Stage(layout, folder, 3, plant, counted=True)
+    stage = Stage(layout, folder, 3, counted=True, program=program(plant))
 
     def charged() -> int:
         found = [x for n in stage.hosts for x in read(folder / f"host-{n}.jsonl")]
@@ -119,7 +120,12 @@
     day = make("refuse", 9.0, 11, layout)
     kills = tuple(Trouble(3.0 + 2.5 * n, "gateway_kill", 0, 0.1) for n in range(2))
     refused = tuple(Trouble(0.2, "refuse", n, 8.5) for n in range(day.layout.hosts))
-    return play(replace(day, rate=20.0, watch=(1.0, 3.0), troubles=refused + kills), folder, 11, plant)
+    return play(
+        replace(day, rate=20.0, watch=(1.0, 3.0), troubles=refused + kills),
+        folder,
+        11,
+        program=program(plant),
+    )
 
 
 @pytest.mark.long
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -29,7 +29,7 @@
     settle,
 )
 from otterglade.gateway.lifecycle import Lock
-from otterglade.lab.stage import Layout, Stage
+from otterglade.lab.stage import PROGRAM, Layout, Stage
 from otterglade.net.http import Answer, ExchangeError
 from otterglade.standins.player import Browser
 from otterglade.standins.record import read
@@ -37,6 +37,7 @@
 from otterglade.store.log import Log
 
 from .house import BOUND, until
+from .planted_gateway import program
 from .test_gateway import Build, build, segments_of  # noqa: F401 - a fixture
 
 ENTRY = Entry("g.e.1.0", Fate.BEGUN, 1000.0, ("v", 1, "a"), 2, "epoch", 1, 4)
@@ -131,7 +132,7 @@
     """One host, one gateway that dies at a step, and its viewer."""
 
     def __init__(self, folder: Path, plant: str = "") -> None:
-        self.stage = Stage(LAYOUT, folder, plant=plant)
+        self.stage = Stage(LAYOUT, folder, program=program(plant))
         self.stage.start()
 
     def ask(self, viewer: str = "v", class_: str = "sign-off") -> Answer:
@@ -144,7 +145,7 @@
 
     def kill_and_return(self) -> None:
         self.stage.kill_gateway(0)
-        self.stage.plant = ""
+        self.stage.program = PROGRAM
         self.stage.restart_gateway(0)
 
     def ledger(self, event: str = "setup", **fields: Any) -> list[dict[str, Any]]:
