A client that has gone gets no attempt: asked of the kernel before each one leaves

Seen with a gateway stepped by the test, its loop 0.2 s late: for six ways of leaving (close, reset, half-close, TEARDOWN, the last two also behind 300 messages) the attempt began all the same: as the first one in Frontend._set_up, as a further one chosen by an end of attempt in the same turn, after a test of a host, after a wait at a cold host behind a backlog, and on a connection that came up late. Excluded: Gateway.left with number 0 (never).

Channel.ahead looks at what is unread with no side effect, Reader.cancels finds a whole TEARDOWN of a session in it, and Gateway.wanted is asked in Frontend._set_up, before a send, at a late connection and before a resend. A timer that is due waits 50 ms at most for what has come in.

Open: a TEARDOWN on another connection that is unread when the attempt leaves.

--- a/otterglade/net/reactor.py
+++ b/otterglade/net/reactor.py
@@ -22,6 +22,13 @@
 """Bytes read of a channel in one turn."""
 ACCEPTS = 64
 """Newcomers accepted in one turn."""
+EVENTS = 16
+"""Events handled in one turn, and channels that asked to be called again: with hundreds at full speed a turn
+stays short, and timers and, as epoll goes round, other sockets come in between."""
+HEARD_FIRST = 0.05
+"""Seconds for which a timer that is due waits until everything that has come in is heard."""
+PEEK = 4096
+"""Bytes looked for first; only where so many wait are more looked at."""
 OUT_MOST = 1 << 18
 """Bytes that wait for a peer that does not read, before its channel is closed."""
 DRAIN_MOST, DRAIN_FOR = 1 << 20, 0.5
@@ -105,7 +112,8 @@
         if self._waiting or self._soon:
             wait = 0.0
         self._fresh.clear()
-        for fd, events in self._epoll.poll(max(0.0, wait), 4096):
+        ready = self._epoll.poll(max(0.0, wait), EVENTS)
+        for fd, events in ready:
             call = self._watched.get(fd)
             # A number that was closed and given out again in this turn: the event was its predecessor's, and
             # a connection that is only being opened would be taken for one that is up.
@@ -114,11 +122,12 @@
         soon, self._soon = self._soon, []
         for call_soon in soon:
             call_soon()
-        waiting, self._waiting = self._waiting, {}
-        for channel in waiting:
+        for channel in list(itertools.islice(self._waiting, EVENTS)):
+            del self._waiting[channel]
             channel.more()
         now = self.clock()
-        while self._timers and self._timers[0][0] <= now:
+        due_by = now if len(ready) < EVENTS else now - HEARD_FIRST
+        while self._timers and self._timers[0][0] <= due_by:
             due, _, call_timer = heapq.heappop(self._timers)
             self.rang(now, due)
             call_timer()
@@ -222,6 +231,31 @@
             return True
         return True
 
+    def ahead(self, most: int) -> tuple[bytes, bool]:
+        """Bytes that the kernel holds unread, at most so many, and whether the peer has ended; takes nothing.
+
+        Unread bytes hide an end: the danger is a peer that wrote much, left, and is thought to wait still.
+        """
+        if self.closed:
+            return b"", True
+        try:
+            data = self._sock.recv(PEEK, socket.MSG_PEEK)
+            if len(data) == PEEK < most:
+                data = self._sock.recv(most, socket.MSG_PEEK)
+        except BlockingIOError:
+            return b"", False
+        except OSError:
+            return b"", True
+        return data, not data or self._hung_up()
+
+    def _hung_up(self) -> bool:
+        poll = select.poll()
+        poll.register(self._sock, select.POLLRDHUP)  # errors and hang-ups are told unasked
+        try:
+            return bool(poll.poll(0))
+        except OSError:
+            return False  # not to be had here: the end is seen once what hides it is read
+
     def _event(self, events: int) -> None:
         if self.closed:
             return
--- a/otterglade/node/frontend.py
+++ b/otterglade/node/frontend.py
@@ -7,7 +7,9 @@
 
 from __future__ import annotations
 
+import itertools
 import socket
+from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
@@ -17,14 +19,19 @@
 from ..wire import rtsp
 from . import messages
 
-MESSAGES = 16
-"""Messages of one connection handled in a turn."""
+MESSAGES = 1
+"""Messages of one connection handled in a turn: set-ups are dear, and with sixteen of each of a hundred
+connections a turn took over a second."""
+AHEAD_MOST = 1 << 18
+"""Bytes of a connection looked through for what takes a set-up back before it is read."""
 SILENT_FOR = 2.0
 """Seconds for which a connection may say nothing, or leave a message half said, before it is closed."""
 IDLE_FOR = 6.0
 """The same for one that has had a session or a test on it: viewers close theirs after 4 s."""
 ERRORS_MOST = 4
 """Messages of one connection that mean nothing, before it is closed."""
+TAKEN_BACK_KEPT = 1024
+"""Ids of no known session for which a TEARDOWN came: its set-up may still wait on another connection."""
 OPEN_MOST = 256
 """Set-ups open on one connection; one more is refused."""
 HANDED_OVER_MOST = 8192
@@ -58,6 +65,7 @@
 
     def __init__(self, frontend: Frontend, sock: socket.socket) -> None:
         self.frontend = frontend
+        self.number = next(frontend.numbers)
         self.reader = rtsp.Reader()
         self.open: dict[bytes, ClientSession] = {}
         self.standing: dict[bytes, ClientSession] = {}
@@ -104,6 +112,9 @@
         self.viewers: dict[Viewer, None] = {}
         self.sessions: dict[bytes, ClientSession] = {}
         self.handed_over = 0
+        self.numbers = itertools.count()
+        self._taken_back: OrderedDict[bytes, int] = OrderedDict()
+        """Ids of sessions that nobody knew when they were taken back, and the number of the connection."""
         self._said: set[str] = set()
         """Reasons that are in the log already."""
         self._unsaid: dict[bytes, tuple[bytes, float]] = {}
@@ -194,6 +205,10 @@
             if client is not None:
                 viewer.channel.send(messages.answer(200, message))
                 self.owner.left(client)
+            elif message.session:
+                self._taken_back[message.session] = viewer.number
+                if len(self._taken_back) > TAKEN_BACK_KEPT:
+                    self._taken_back.popitem(last=False)
         elif message.method == b"OPTIONS":
             viewer.useful = True
             viewer.channel.send(messages.answer(200, message))
@@ -232,6 +247,11 @@
         # What plays already is never set up: its description, of up to 16 KiB, is not kept.
         description = message.body if playing_at is None else b""
         client = ClientSession(session, viewer, class_no, request.title, description)
+        # Behind a TEARDOWN on its own connection it is a new set-up, and is owed an answer.
+        if playing_at is None and self._taken_back.pop(session, viewer.number) != viewer.number:
+            return
+        if playing_at is None and self.has_left(client):
+            return  # taken back already: the module is not even asked
         self.sessions[session] = client
         if playing_at is None:
             if len(viewer.open) >= OPEN_MOST:
@@ -252,6 +272,16 @@
         else:
             self._mean_nothing(viewer, message, "Session: of another request")
 
+    def has_left(self, client: ClientSession) -> bool:
+        """Whether nobody waits for a session's answer: its connection has ended, or what has come on it
+        and is not read yet takes the set-up back. Read in its turn, either would be seen after hundreds of
+        other messages, or after the host's event at hand."""
+        viewer = client.viewer
+        if viewer is None:
+            return True
+        ahead, ended = viewer.channel.ahead(AHEAD_MOST)
+        return ended or viewer.reader.cancels(client.session, ahead)
+
     # What viewers are told
 
     def served(self, client: ClientSession, description: bytes) -> bool:
--- a/otterglade/node/gateway.py
+++ b/otterglade/node/gateway.py
@@ -65,9 +65,9 @@
 
     # Events and orders
 
-    def _event(self, call: Callable[[float], list[setups.Order]]) -> None:
+    def _event(self, *calls: Callable[[float], list[setups.Order]]) -> None:
         """Tell the core something and carry out what it orders."""
-        self._queue.append(call)
+        self._queue.extend(calls)
         if self._carrying:
             return
         self._carrying = True
@@ -137,6 +137,9 @@
         if host is None:
             self._event(lambda now: self.setups.ended(now, number, attempt, api.Outcome.REFUSED))
             return
+        if not self.wanted(number):
+            self._event(lambda now: self.setups.gone(now, number))
+            return
         wire = messages.attempt(
             client.session, client.class_no, client.title, client.description, order.rung, order.time_out
         )
@@ -195,24 +198,36 @@
         self.frontend.forget(client)
 
     def left(self, client: ClientSession) -> None:
-        if client.number:
-            self._event(lambda now: self.setups.gone(now, client.number))
-        elif self.hand_overs.left(client):
+        if self.hand_overs.left(client):
             self.frontend.forget(client)
+            return
+        # Its number is looked up when its turn comes: what asked for it stands in the queue before.
+        self._event(lambda now: self.setups.gone(now, client.number))
 
     # From hosts
 
     def wanted(self, number: int) -> bool:
-        """Whether a set-up is open still and its viewer waits for it."""
-        setup = self.setups.open.get(number)
-        return setup is not None and not setup.gone
+        """Whether an attempt of this request may leave; asked just before one does. False: its client has
+        gone, though nobody may have read that yet, and nothing of the request may leave any more."""
+        setup, client = self.setups.open.get(number), self._sessions.get(number)
+        if setup is None or setup.gone or client is None:
+            return False
+        return not self.frontend.has_left(client)
 
     def attempt_stands(self, number: int, attempt: int, description: bytes) -> None:
         self._descriptions[number] = description
         self._event(lambda now: self.setups.plays(now, number, attempt))
 
     def attempt_ended(self, number: int, attempt: int, outcome: api.Outcome, load: api.Load | None) -> None:
-        self._event(lambda now: self.setups.ended(now, number, attempt, outcome, load))
+        def told(now: float) -> list[setups.Order]:
+            return self.setups.ended(now, number, attempt, outcome, load)
+
+        client = self._sessions.get(number)
+        if client is not None and client.open and self.frontend.has_left(client):
+            # Told first: no further attempt is chosen, and no refusal is said to who has taken it back.
+            self._event(lambda now: self.setups.gone(now, number), told)
+        else:
+            self._event(told)
 
     def noted(self, server: int, number: int | None, message: rtsp.Message) -> None:
         note = messages.note_of(message, server)
--- a/otterglade/wire/rtsp.py
+++ b/otterglade/wire/rtsp.py
@@ -17,11 +17,15 @@
 """Bytes of a whole message, by the platform's protocol: bounds what one peer can make a reader hold."""
 FIELDS_MOST = 64
 """Fields of a message."""
+LOOKED_THROUGH = 1024
+"""Messages looked through for a TEARDOWN that is not read yet: bounds the work for a peer that names its
+sessions in the last of thousands."""
 
 REQUEST_LINE = re.compile(rb"([A-Z][A-Z_]{1,31}) ([\x21-\x7e]{1,2048}) RTSP/1\.0\Z")
 STATUS_LINE = re.compile(rb"RTSP/1\.0 ([1-5][0-9][0-9])(?: [\t\x20-\x7e\x80-\xff]*)?\Z")
 FIELD_LINES = re.compile(rb"(?:[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[\t\x20-\x7e\x80-\xff]*\r\n)*\Z")
 LENGTH = re.compile(rb"[0-9]{1,9}\Z")
+LENGTH_FIELD = re.compile(rb"\r\ncontent-length:[ \t]*([0-9]{1,9})[ \t]*\r\n", re.IGNORECASE)
 SESSION = re.compile(rb"[0-9a-f]{16}\Z")
 DESCRIPTION = re.compile(rb"(?:(?:[0-9a-f]{16}|[a-z]=[\x20-\x7e]*)\r\n)+\Z")
 REASON = re.compile(rb"cause=([0-9]{1,3})\Z")
@@ -128,6 +132,33 @@
         rest = bytes(self._buffer[self._start : self._start + 40])
         return not rest or START.match(rest) is not None
 
+    def cancels(self, session: bytes, ahead: bytes) -> bool:
+        """Whether what is not read yet, here and in bytes that follow, holds a whole TEARDOWN of a session.
+
+        Messages are told apart as they will be when they are read: a TEARDOWN in a body is none. It is one
+        search where the id is not in the bytes.
+        """
+        rest = bytes(self._buffer[self._start :]) + ahead
+        named, start = rest.find(session), 0
+        for _ in range(LOOKED_THROUGH):
+            if named < 0:
+                break
+            body = rest.find(b"\r\n\r\n", start) + 4
+            length = LENGTH_FIELD.search(rest, start, body - 2) if body >= 4 else None
+            end = body + int(length[1]) if length else 0
+            if length is None or end > len(rest):
+                break  # not whole, or not to be read: then nothing behind it is
+            if named < body and rest.startswith(b"TEARDOWN ", start):
+                try:
+                    if _head(rest[start : body - 2]).session == session:
+                        return True
+                except RtspError:
+                    break
+            start = end
+            if named < start:
+                named = rest.find(session, start)
+        return False
+
     def _read_head(self) -> bool:
         buffer, start = self._buffer, self._start
         if len(buffer) == start:
