Shutdown, idle close and full places: what waits in the kernel is read before any close

Gateway._end takes the backlog, serves what is unread, sends FIN, reads 0.1 s more, ends with 0. Set-ups are refused from 1.5 s after SIGTERM, so that a stream of them can't hold the end; READS_FOR is 2.5 s, as 3.0 lay behind the earliest SIGKILL (3.7 s). At the end of descriptors accept was called 29,511 times in 0.2 s; now the socket is left alone for 50 ms. SIGHUP keeps a descriptor in reserve and reads the file again when it could not.

--- a/otterglade/net/reactor.py
+++ b/otterglade/net/reactor.py
@@ -29,6 +29,13 @@
 """Seconds for which a timer that is due waits until everything that has come in is heard."""
 PEEK = 4096
 """Bytes looked for first; only where so many wait are more looked at."""
+BACKLOG = 4096
+"""Newcomers that the kernel holds until they are accepted."""
+PAUSE = 0.05
+"""Seconds for which newcomers stay in the kernel where there is no room or no descriptor: the socket stays
+ready all the while, and a loop that watched it would spin."""
+NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+"""What `accept` raises where the newcomer stays in the kernel; with any other error it has gone."""
 OUT_MOST = 1 << 18
 """Bytes that wait for a peer that does not read, before its channel is closed."""
 DRAIN_MOST, DRAIN_FOR = 1 << 20, 0.5
@@ -256,6 +263,12 @@
         except OSError:
             return False  # not to be had here: the end is seen once what hides it is read
 
+    def unread(self) -> bool:
+        """Whether bytes or an end wait to be read or looked at: a close from here would lose them."""
+        if self.closed or not self.up:
+            return False
+        return self in self._reactor._waiting or self.stale()
+
     def _event(self, events: int) -> None:
         if self.closed:
             return
@@ -341,35 +354,88 @@
 
 
 class Listener:
-    """A listening socket; each newcomer is handed on as a non-blocking socket."""
-
-    def __init__(self, reactor: Reactor, address: Address, newcomer: Callable[[socket.socket], None]) -> None:
-        """Raises OSError where the address can't be had."""
+    """A listening socket; each newcomer is handed on as a non-blocking socket.
+
+    Where the owner is full and can't make room, or no descriptor is left, newcomers stay in the kernel and
+    are taken up to `PAUSE` later, or when the owner says that there is room: they wait, and aren't lost.
+    """
+
+    def __init__(
+        self,
+        reactor: Reactor,
+        address: Address,
+        newcomer: Callable[[socket.socket], None],
+        full: Callable[[], bool] = lambda: False,
+        make_room: Callable[[bool], bool] = lambda short: False,
+    ) -> None:
+        """`make_room` is told whether descriptors are at their end. Raises OSError where the address can't
+        be had."""
         self._reactor, self._newcomer = reactor, newcomer
+        self._full, self._make_room = full, make_room
+        self.paused = self.closed = False
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             self.sock.setblocking(False)
             self.sock.bind(address)
-            self.sock.listen(4096)
+            self.sock.listen(BACKLOG)
             reactor.watch(self.sock.fileno(), self._ready)
         except OSError:
             self.sock.close()
             raise
 
     def _ready(self, events: int) -> None:
-        for _ in range(ACCEPTS):
+        for count in range(ACCEPTS):
+            if not self._take(first=not count):
+                return
+
+    def _take(self, first: bool) -> bool:
+        """Hand on a newcomer; False: none waits, or there is no room for it.
+
+        Only the first of a turn is known to wait: no connection is closed for one that may not be there.
+        """
+        if self._full() and not (first and self._make_room(False)):
+            return self._no_room(first)
+        try:
+            sock, _ = self.sock.accept()
+        except BlockingIOError:
+            return False
+        except OSError as error:
+            if error.errno in NO_DESCRIPTOR and not (first and self._make_room(True)):
+                return self._no_room(first)
+            return True
+        sock.setblocking(False)
+        with contextlib.suppress(OSError):  # gone already: the first read tells it
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._newcomer(sock)
+        return True
+
+    def _no_room(self, first: bool) -> bool:
+        if first and not self.paused and not self.closed:
+            self.paused = True
+            self._reactor.forget(self.sock.fileno())
+            self._reactor.at(self._reactor.clock() + PAUSE, self.resume)
+        return False
+
+    def resume(self) -> None:
+        """Take newcomers again, if they had to wait."""
+        if self.paused and not self.closed:
             try:
-                sock, _ = self.sock.accept()
-            except BlockingIOError:
+                self._reactor.watch(self.sock.fileno(), self._ready)
+            except OSError:  # no memory for it now
+                self._reactor.at(self._reactor.clock() + PAUSE, self.resume)
                 return
-            except OSError:
-                return  # out of descriptors, or the peer has gone already: tried again with the next event
-            sock.setblocking(False)
-            with contextlib.suppress(OSError):  # gone already: the first read tells it
-                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self._newcomer(sock)
+            self.paused = False
+
+    def take_rest(self) -> bool:
+        """Hand on all that the kernel holds; False: there is no room for some."""
+        for _ in range(BACKLOG):
+            if not self._take(first=True):
+                break
+        return not self.paused
 
     def close(self) -> None:
-        self._reactor.forget(self.sock.fileno())
-        self.sock.close()
+        if not self.closed:
+            self.closed = True
+            self._reactor.forget(self.sock.fileno())
+            self.sock.close()
--- a/otterglade/node/__main__.py
+++ b/otterglade/node/__main__.py
@@ -46,6 +46,9 @@
         return 1
     gateway.watch_signals(_wakeup)
     reactor.run()
+    # The interpreter puts handlers back to their defaults as it ends: one more SIGTERM would end it with -15.
+    for number in (signal.SIGTERM, signal.SIGHUP):
+        signal.signal(number, signal.SIG_IGN)
     return 0
 
 
--- a/otterglade/node/config.py
+++ b/otterglade/node/config.py
@@ -39,6 +39,10 @@
     """A configuration that can't be read; the text names the field."""
 
 
+class UnopenedError(ConfigError):
+    """The file can't be opened or read now, whatever it says."""
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     name: str
@@ -78,10 +82,12 @@
 
 
 def load(path: str) -> Config:
-    """Read a file. Raises ConfigError, also where the file can't be read."""
+    """Read a file. Raises ConfigError, and UnopenedError where the file can't be opened or read."""
     try:
         value = json.loads(Path(path).read_bytes())
-    except (OSError, ValueError, RecursionError) as error:
+    except OSError as error:
+        raise UnopenedError(f"{path}: {error}") from None
+    except (ValueError, RecursionError) as error:
         raise ConfigError(f"{path}: {error}") from None
     return read(value)
 
--- a/otterglade/node/frontend.py
+++ b/otterglade/node/frontend.py
@@ -2,7 +2,8 @@
 
 A connection carries many sessions, and a session that stands may be ended on any connection. Bounds: a
 connection with no session on it is closed after a while, one that sends what can't be read is told so and
-closed, and where there are too many, the one that has had nothing on it for the longest goes first.
+closed, and where there are too many, the one that has had nothing on it for the longest goes first. Where
+none may be closed, newcomers wait in the kernel. What the kernel holds unread is read before any such close.
 """
 
 from __future__ import annotations
@@ -37,6 +38,16 @@
 HANDED_OVER_MOST = 8192
 """Sessions handed over since the start. They come when a gateway starts and nobody has to answer for them, so
 nothing else bounds what one peer at full speed could make a gateway hold."""
+SETTLED = 0.1
+"""Seconds for which a connection that is new, or on which something was told, is not closed to make room: its
+first request is still on its way, and one that crosses the close resets it, with what is not read yet."""
+FULL_FOR = 0.5
+"""Seconds for which newcomers wait for a connection that has nothing unread; then the one that asked for
+nothing for the longest goes, or clients that never pause would keep all others out."""
+HEADROOM = 12
+"""Descriptors given back at their end, so that hosts can still be connected to."""
+UNSAID_FOR = 8.0
+"""Seconds for which a release is owed that no connection was open for."""
 
 
 class Owner(Protocol):
@@ -72,6 +83,9 @@
         self.errors = 0
         self.useful = False
         self.quiet_since = frontend.reactor.clock()
+        """When it last said or was told something."""
+        self.asked_at = 0.0
+        """When it last sent a set-up."""
         self.channel = Channel(frontend.reactor, sock, self)
 
     def connected(self) -> None:
@@ -103,12 +117,17 @@
         owner: Owner,
         settings: api.Settings,
         classes: tuple[str, ...],
-        most: int,
+        most: Callable[[], int],
         say: Callable[[str], None],
     ) -> None:
-        """`most`: connections held at once. Raises OSError where the address can't be had."""
+        """`most`: connections that may be held now. Raises OSError where the address can't be had."""
         self.reactor, self.owner, self.settings = reactor, owner, settings
-        self.classes, self.most, self.say = classes, most, say
+        self.classes, self._most, self.say = classes, most, say
+        self.refusing = False
+        """No set-up is handed on any more: the process is about to end."""
+        self._full_since: float | None = None
+        self._descriptors_most: int | None = None
+        """Connections for which descriptors were enough, where they came to their end."""
         self.viewers: dict[Viewer, None] = {}
         self.sessions: dict[bytes, ClientSession] = {}
         self.handed_over = 0
@@ -119,33 +138,62 @@
         """Reasons that are in the log already."""
         self._unsaid: dict[bytes, tuple[bytes, float]] = {}
         """Releases for which no viewer's connection was open, and until when they are owed."""
-        Listener(reactor, address, self._newcomer)
+        self.listener = Listener(reactor, address, self._newcomer, self._full, self._make_room)
 
     # Connections
 
     def _newcomer(self, sock: socket.socket) -> None:
-        if len(self.viewers) + self.reactor.finishing >= self.most and not self._make_room():
-            sock.close()
-            return
         try:
             viewer = Viewer(self, sock)
         except OSError as error:
             self.say(f"a connection can't be watched: {error}")
             return
         self.viewers[viewer] = None
+        self._full_since = None
 
-    def _make_room(self) -> bool:
-        """Close the connection that matters least: never useful and quiet for longest, else just quiet."""
-        free = [x for x in self.viewers if not x.open and not x.standing]
-        if not free:
-            return False
-        self._close(min(free, key=lambda x: (x.useful, x.quiet_since)))
-        return True
+    @property
+    def _held(self) -> int:
+        """Descriptors of viewers' connections."""
+        return len(self.viewers) + self.reactor.finishing
+
+    def _full(self) -> bool:
+        most = self._most()
+        if self._descriptors_most is not None:
+            most = min(most, self._descriptors_most)
+        return self._held >= most
+
+    def _make_room(self, short: bool = False) -> bool:
+        """Close what matters least: never useful and quiet for longest, then just quiet, then what has but
+        sessions that stand, as these belong to no connection. False: there is no room yet.
+
+        `short`: descriptors are at their end, and some are kept free from now on.
+        """
+        if short:
+            self._say_once("no descriptor is left for a connection")
+            self._descriptors_most = max(1, self._held - HEADROOM)
+        now = self.reactor.clock()
+        free = [x for x in self.viewers if not x.open and not x.channel.unsent]
+        settled = [x for x in free if now - x.quiet_since >= SETTLED]
+        settled.sort(key=lambda x: (bool(x.standing), x.useful, x.quiet_since))
+        closed = False
+        for viewer in settled:
+            if not self._full():
+                break
+            if not viewer.channel.unread():
+                self._close(viewer)
+                closed = True
+        if self._full_since is None:
+            self._full_since = now
+        if not closed and free and now - self._full_since >= FULL_FOR:
+            self._close(min(free, key=lambda x: x.asked_at))
+            closed = True
+        return closed and (short or not self._full())
 
     def _close(self, viewer: Viewer, last: bytes = b"") -> None:
         """Close a connection from here, after a last word if there is one."""
         if last:
             viewer.channel.send(last)
+        if last or not self._full():
             viewer.channel.finish()
         else:
             viewer.channel.close()
@@ -162,11 +210,35 @@
             client.viewer = None
         viewer.open.clear()
         viewer.standing.clear()
+        self.listener.resume()
+
+    # The end of the process
 
     @property
-    def unsent(self) -> bool:
-        """Whether a viewer has not been given all that he was told; an end of the process would cut it."""
-        return any(x.channel.unsent for x in self.viewers)
+    def owes(self) -> bool:
+        """Whether an end of the process would cut what is owed: bytes of viewers that nobody has read, what
+        they have not been given whole, a last word on its way, a release, newcomers that wait for room."""
+        self._say_unsaid(last=True)
+        return (
+            bool(self._unsaid and self.viewers)
+            or self.listener.paused
+            or self.reactor.finishing > 0
+            or any(x.channel.unsent or x.channel.unread() for x in self.viewers)
+        )
+
+    def stop_listening(self) -> bool:
+        """Take whom the kernel holds, then listen no more; False: there is no room for some yet."""
+        if not self.listener.closed and self.listener.take_rest():
+            self.listener.close()
+        return self.listener.closed
+
+    def finish(self) -> None:
+        """Shut every connection for writing, after all that was told. What comes is read and thrown away
+        until the channel is closed: bytes that nobody reads would reset it, and destroy what was told."""
+        self.listener.close()
+        for viewer in list(self.viewers):
+            viewer.channel.finish()
+            self.ended(viewer)
 
     def _say_once(self, text: str) -> None:
         if text not in self._said:
@@ -184,15 +256,35 @@
             quiet = now - viewer.quiet_since
             if quiet <= SILENT_FOR or viewer.open:
                 continue
-            if viewer.reader.held:
+            half = viewer.reader.held > 0
+            idle = not viewer.standing and (not viewer.useful or quiet > IDLE_FOR)
+            # A late turn: what it has to say may be in the kernel since long.
+            if not (half or idle) or viewer.channel.unread():
+                continue
+            if half:
                 self.unreadable(viewer, "half a message")
-            elif not viewer.standing and (not viewer.useful or quiet > IDLE_FOR):
+            else:
                 self._close(viewer)
-        told = next((x for x in self.viewers if x.useful and not x.channel.closed), None)
+        if self._descriptors_most is not None:  # others may have given theirs back
+            self._descriptors_most += 1
+            if self._descriptors_most >= self._most():
+                self._descriptors_most = None
+        if self._held > self._most():
+            self._make_room()  # hosts took more than their part since
+        self._say_unsaid()
+
+    def _for_all(self, last: bool = False) -> Viewer | None:
+        """A connection for what belongs to none: one that viewers use, at the end also one that asked."""
+        used = (x for x in self.viewers if x.useful or (last and x.asked_at))
+        return next((x for x in used if not x.channel.closed), None)
+
+    def _say_unsaid(self, last: bool = False) -> None:
+        """Releases that wait for a connection go out on one, or are owed no longer."""
+        viewer, now = self._for_all(last), self.reactor.clock()
         for session, (wire, until) in list(self._unsaid.items()):
-            if told is not None:
-                told.channel.send(wire)
-            if told is not None or until < now:
+            if viewer is not None:
+                viewer.channel.send(wire)
+            if viewer is not None or until < now:
                 del self._unsaid[session]
 
     # What viewers say
@@ -225,6 +317,7 @@
 
     def _set_up(self, viewer: Viewer, message: rtsp.Message) -> None:
         session = message.session
+        viewer.asked_at = self.reactor.clock()
         if not session:
             self._mean_nothing(viewer, message, "Session: can't be read")
             return
@@ -254,7 +347,7 @@
             return  # taken back already: the module is not even asked
         self.sessions[session] = client
         if playing_at is None:
-            if len(viewer.open) >= OPEN_MOST:
+            if self.refusing or len(viewer.open) >= OPEN_MOST:
                 del self.sessions[session]
                 viewer.channel.send(messages.refused(session, self.settings.note_delay))
                 return
@@ -293,26 +386,34 @@
         viewer.open.pop(client.session, None)
         viewer.standing[client.session] = client
         viewer.useful = True
+        self._told(viewer)
         viewer.channel.send(messages.served(client.session, description))
         return True
 
+    def _told(self, viewer: Viewer) -> None:
+        """Something is told on a connection, and a set-up on it may be over."""
+        viewer.quiet_since = self.reactor.clock()
+        if not viewer.open:
+            self.listener.resume()
+
     def turned_away(self, client: ClientSession, wire: bytes) -> None:
         """The final answer where the session does not stand."""
         client.open = False
         if client.viewer is not None:
             client.viewer.open.pop(client.session, None)
-            client.viewer.quiet_since = self.reactor.clock()
+            self._told(client.viewer)
             client.viewer.channel.send(wire)
 
     def tell(self, client: ClientSession, wire: bytes) -> None:
         """A release or a move: on the session's own connection, else on any that viewers use."""
         viewer = client.viewer
         if viewer is None or viewer.channel.closed:
-            viewer = next((x for x in self.viewers if x.useful and not x.channel.closed), None)
+            viewer = self._for_all()
         if viewer is not None:
+            self._told(viewer)
             viewer.channel.send(wire)
         else:
-            self._unsaid[client.session] = (wire, self.reactor.clock() + 8.0)
+            self._unsaid[client.session] = (wire, self.reactor.clock() + UNSAID_FOR)
 
     def forget(self, client: ClientSession) -> None:
         """Nothing of this session is left."""
@@ -321,4 +422,4 @@
         if client.viewer is not None:
             client.viewer.open.pop(client.session, None)
             client.viewer.standing.pop(client.session, None)
-            client.viewer.quiet_since = self.reactor.clock()
+            self._told(client.viewer)
--- a/otterglade/node/gateway.py
+++ b/otterglade/node/gateway.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import os
+import resource
 import signal
 import socket
 from collections import deque
@@ -16,7 +18,7 @@
 from ..net.reactor import Reactor
 from ..wire import dns, rtsp
 from . import messages
-from .config import Config, ConfigError, load
+from .config import Config, ConfigError, UnopenedError, load
 from .discovery import Discovery
 from .frontend import ClientSession, Frontend
 from .handovers import PendingHandOvers
@@ -30,8 +32,18 @@
 """One in so many of the other descriptors is for connections to hosts, the rest for viewers."""
 STAY = 0.8
 """Seconds after SIGTERM for which requests may still come."""
-READS_FOR = 3.0
-"""Seconds after that for which a viewer who reads slowly is waited for; one who never reads is not."""
+REFUSES_FROM = 1.5
+"""Seconds after SIGTERM from which a set-up is refused at once. Requests come up to 0.6 s after it, and a
+late turn has read them by now; what comes still is sent by nobody who is owed service, its answer could come
+after SIGKILL, and a stream that never ends would hold up the end for ever."""
+READS_FOR = 2.5
+"""Seconds after `STAY` for which the end waits for viewers who read slowly or go on sending; whoever never
+reads, or never stops, is not waited for. SIGKILL may come 3.7 s after SIGTERM."""
+LOOK = 0.05
+"""Seconds between two looks at whether anything is still owed."""
+LAST_READS = 0.1
+"""Seconds for which viewers are still read once nothing more is written: a message crosses the end within
+50 ms, and unread it would reset the connection and destroy answers on their way."""
 
 
 class Gateway:
@@ -49,7 +61,13 @@
         self._sessions: dict[int, ClientSession] = {}
         self._descriptions: dict[int, bytes] = {}
         self._stopping: float | None = None
-        self._room = max(32, config.sockets - SPARE)
+        self._finished: float | None = None
+        """When all that was owed had been told."""
+        self._reload_due = False
+        self._reserve: int | None = os.open(os.devnull, os.O_RDONLY)
+        """A descriptor for the file of the configuration, where viewers hold all others."""
+        sockets = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+        self._room = max(32, sockets - SPARE)
         self._links = links = self._room // HOSTS_PART
         self.hosts = Hosts(reactor, self, settings.connect_timeout, links, say, settings.idle_close)
         self.hand_overs = PendingHandOvers()
@@ -59,10 +77,15 @@
         self._event(self.setups.start)  # may order a question to the name service
         self._list(config.hosts)
         self.frontend = Frontend(
-            reactor, config.listen, self, settings, config.classes, self._room - links, say
+            reactor, config.listen, self, settings, config.classes, self._viewers_most, say
         )
         reactor.at(reactor.clock() + SWEEP, self._sweep)
 
+    def _viewers_most(self) -> int:
+        """Viewers' connections that may be held: control connections of many hosts may need more than
+        their part, from one newcomer to the next, but viewers keep the third that they may hold."""
+        return max(self._room // 3, self._room - max(self._links, self.hosts.count()))
+
     # Events and orders
 
     def _event(self, *calls: Callable[[float], list[setups.Order]]) -> None:
@@ -275,39 +298,74 @@
         if number == signal.SIGHUP:
             self._reload()
         elif self._stopping is None:
-            self._stopping = self.reactor.clock()
+            now = self._stopping = self.reactor.clock()
+            self.reactor.at(now + STAY, self._end)
             self.say("SIGTERM: answering what comes, then ending")
 
     def _reload(self) -> None:
+        """Read the configuration again; where its file can't be opened, once more with the next sweep."""
+        first, self._reload_due = not self._reload_due, False
+        self._give_reserve()
         try:
             config = load(self._path)
         except ConfigError as error:
-            self.say(f"SIGHUP: the old configuration stays: {error}")
+            if first:
+                self.say(f"SIGHUP: the old configuration stays: {error}")
+            self._reload_due = isinstance(error, UnopenedError)
             return
+        finally:
+            self._take_reserve()
         self.say(f"SIGHUP: name service at {config.resolver[0]}:{config.resolver[1]}")
         self.config = config
         self.discovery.move(config.resolver)
 
+    def _give_reserve(self) -> None:
+        if self._reserve is not None:
+            os.close(self._reserve)
+            self._reserve = None
+
+    def _take_reserve(self) -> None:
+        try:
+            self._reserve = os.open(os.devnull, os.O_RDONLY)
+        except OSError as error:  # other processes hold all that the machine has
+            self.say(f"no descriptor in reserve: {error}")
+
     def _sweep(self) -> None:
         now = self.reactor.clock()
         self.reactor.at(now + SWEEP, self._sweep)
+        if self._reload_due:
+            self._reload()
         self.hosts.sweep()
         for held in self.hand_overs.late(now):
             if not held.left:
                 self._release_handed_over(held.client)
-        # Many hosts with a control connection each may need more than their part.
-        self.frontend.most = self._room - max(self._links, self.hosts.count())
         self.frontend.sweep()
-        if self._stopping is not None and now > self._stopping + STAY and not self._owes(now):
+
+    def _end(self) -> None:
+        """Once nothing is owed: take whom the kernel still holds, serve what they sent, say no more to
+        anyone, read on until nothing can cross any more, stop."""
+        now = self.reactor.clock()
+        assert self._stopping is not None, "called once it stops"
+        self.frontend.refusing = now >= self._stopping + REFUSES_FROM
+        if self._finished is None and not self._owes(now):
+            late = now >= self._stopping + STAY + READS_FOR
+            if (self.frontend.stop_listening() or late) and not self._owes(now):
+                self.frontend.finish()
+                self._finished = now
+        over = self._finished is not None and now >= self._finished + LAST_READS
+        if over or (self._finished is not None and not self.reactor.finishing):
             self.reactor.stop()
+        else:
+            self.reactor.at(now + LOOK, self._end)
 
     def _owes(self, now: float) -> bool:
-        """Whether an end now would lose what was taken: requests read and not looked at yet, set-ups without
-        an answer, answers that are not out whole."""
-        if self.reactor.behind or any(x.open for x in self._sessions.values()):
+        """Whether an end now would lose what was taken: set-ups without an answer, requests not read or not
+        looked at yet, answers that are not out whole."""
+        if any(x.open for x in self._sessions.values()):
             return True
         assert self._stopping is not None, "asked once it stops"
-        return self.frontend.unsent and now < self._stopping + STAY + READS_FOR
+        late = now >= self._stopping + STAY + READS_FOR
+        return not late and (self.reactor.behind or self.frontend.owes)
 
     def watch_signals(self, wakeup: socket.socket) -> None:
         """Bytes on this socket are numbers of signals."""
--- a/tests/platform.py
+++ b/tests/platform.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import contextlib
+import heapq
 import json
 import os
 import queue
@@ -21,6 +22,8 @@
 
 from otterglade.core import interface as api
 from otterglade.net.reactor import Reactor
+from otterglade.node.config import load
+from otterglade.node.gateway import SWEEP, Gateway
 from otterglade.wire import rtsp
 
 WAIT = 10.0
@@ -320,6 +323,8 @@
     hosts: dict[str, MediaHost] = field(default_factory=dict)
     given: dict[str, Any] = field(default_factory=settings)
     sockets: int = 256
+    descriptors: int | None = None
+    """RLIMIT_NOFILE of the gateway's process; None: as it is here."""
     process: subprocess.Popen[bytes] | None = None
     address: tuple[str, int] = ("127.0.0.1", 0)
 
@@ -356,7 +361,7 @@
 
     def start(self) -> None:
         self.configure()
-        self.process = start(self.path, self.folder / "log")
+        self.process = start(self.path, self.folder / "log", self.descriptors)
         self.wait_up()
 
     def configure(self) -> None:
@@ -397,10 +402,13 @@
         self.names.close()
 
 
-def start(path: Path, log: Path) -> subprocess.Popen[bytes]:
+def start(path: Path, log: Path, descriptors: int | None = None) -> subprocess.Popen[bytes]:
+    command = [sys.executable, "-m", "otterglade.node"]
+    if descriptors is not None:
+        command = ["sh", "-c", 'ulimit -n "$0" && exec "$@"', str(descriptors), *command]
     with log.open("wb") as out:
         return subprocess.Popen(
-            [sys.executable, "-m", "otterglade.node"], stdout=out, stderr=out,
+            command, stdout=out, stderr=out,
             env={**os.environ, "BALANCER_CONFIG": str(path), "BALANCER_NAME": "n0"},
         )  # fmt: skip
 
@@ -449,6 +457,75 @@
             self.reactor.turn(0.02)
 
 
+class SteppedGateway(Stepped):
+    """A gateway in the test's own process: it makes a turn when the test says so, on a clock that the test
+    moves on; hosts and name service are real ones."""
+
+    def __init__(
+        self, folder: Path, hosts: int = 1, act: Callable[[Got], None] = good, **changes: Any
+    ) -> None:
+        """`changes` are the platform's fields."""
+        self.platform = Platform(folder, given=settings(), **changes)
+        for index in range(hosts):
+            self.platform.add(f"h{index}", act)
+        self.platform.configure()
+        super().__init__()
+        self.log: list[str] = []
+        path = str(self.platform.path)
+        self.gateway = Gateway(load(path), path, self.reactor, self.log.append)
+        self.frontend = self.gateway.frontend
+
+    def viewer(self) -> ViewerEnd:
+        """A viewer whose connection was accepted."""
+        before, viewer = len(self.frontend.viewers), self.platform.viewer()
+        self.until(lambda: len(self.frontend.viewers) > before)
+        return viewer
+
+    def answer(self, viewer: ViewerEnd, session: bytes) -> rtsp.Message:
+        """The next message on a session, with turns until it comes."""
+        found: list[rtsp.Message] = []
+
+        def came() -> bool:
+            while not found and not viewer.got.empty():
+                message = viewer.got.get().message
+                found.extend([message] if message.session == session else [])
+            return bool(found)
+
+        self.until(came)
+        return found[0]
+
+    def pass_time(self, seconds: float) -> None:
+        """Make turns while the clock moves on, faster than real time."""
+        until = self.ahead + seconds
+        while self.ahead < until:
+            self.ahead += min(0.02, until - self.ahead)
+            self.reactor.turn(0.0)
+
+    def late(self, call: Callable[[], Any]) -> None:
+        """Make a turn in which `call` comes after all sockets were looked at, and before what is due within
+        a sweep: what it sends waits in the kernel when the gateway looks."""
+        heapq.heappush(self.reactor._timers, (self.reactor._timers[0][0], -1, call))
+        self.ahead += SWEEP + 0.01
+        self.reactor.turn(0.0)
+
+    def close(self) -> None:
+        self.frontend.listener.close()
+        for viewer in list(self.frontend.viewers):
+            viewer.channel.close()
+        for host in self.gateway.hosts.by_number.values():
+            host.close()
+        self.platform.close()
+
+
+@contextlib.contextmanager
+def stepped(folder: Path, hosts: int = 1, **changes: Any) -> Iterator[SteppedGateway]:
+    found = SteppedGateway(folder, hosts, **changes)
+    try:
+        yield found
+    finally:
+        found.close()
+
+
 @contextlib.contextmanager
 def platform(
     folder: Path, hosts: int = 3, act: Callable[[Got], None] = good, **given: Any
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -18,7 +18,7 @@
 
 from otterglade.net.reactor import Reactor
 from otterglade.node.config import load
-from otterglade.node.gateway import READS_FOR, STAY, Gateway
+from otterglade.node.gateway import LAST_READS, LOOK, READS_FOR, STAY, Gateway
 from otterglade.wire import rtsp
 
 from .platform import (
@@ -757,7 +757,11 @@
     assert gateway._owes(now[0]), "read, and not looked at"
     reactor.turn(0.0)
     assert not gateway._owes(now[0])
-    now[0] += 0.5
+    now[0] += LOOK
+    reactor.turn(0.0)
+    peer.settimeout(WAIT)
+    assert reactor.running and peer.recv(1) == b"", "no more is said, and what crosses is still read"
+    now[0] += LAST_READS
     reactor.turn(0.0)
     assert not reactor.running
     peer.close()
