Module: a turn at a cold host lapses, and a list told again draws no new one

Wrong: _turn_in took a turn in the past for good until the host was warm. A turn not taken within half of `fall` is drawn anew. With N under 3 chance alone passes the bound in some 3 of 1,000 cold starts.

Price, by count: with 0.1 to 0.3 requests a second and gateway a cold host gets a third to three fifths of the sends before.

--- a/otterglade/core/policy.py
+++ b/otterglade/core/policy.py
@@ -25,6 +25,7 @@
 PAYBACK = 8.0  # a change of rung must earn this multiple of what it costs
 TRIES_IN_GOAL = 2.0  # a set-up is given up for another in time for so many tries within the goal
 COLD_PART = 0.5  # part of the pace at which a cold server falls that all gateways together may use
+TURN_KEPT = 0.5  # part of `fall` that a turn is kept: in a burst, all send (1 + this) * COLD_PART of the most
 ERRORS = 3  # errors in a row that are a sign too: one that fails at once looks idle and would draw all
 BREAK_BASE = 4.0  # connect time-outs for which a breaker first opens; doubled at each further sign
 ASKED = 3  # holders asked for one session
@@ -97,8 +98,9 @@
             self.out += [api.AskForList()] if self.s.ask_discovery else []
             return
         for server in self.fleet.apply(event):
-            server.cold_until = max(server.cold_until, server.entry.started + self.s.cold)
-            server.next_turn = self.now + self._interval(server) * self.random.random()
+            warm_at = server.entry.started + self.s.cold
+            if warm_at > server.cold_until:  # a list told again draws no new turn: the last one would be lost
+                server.cold_until, server.next_turn = warm_at, self._drawn_turn(server)
 
     # A request: guards, choice, set-up
 
@@ -233,11 +235,23 @@
         return session.terms.effect is api.Effect.SAFE
 
     def _turn_in(self, server: Server) -> float:
-        """Slow start: how long until this gateway's turn at a server that is cold."""
-        return server.next_turn - self.now if self.now < server.cold_until else 0.0
+        """Slow start: how long until this gateway's turn at a server that is cold.
+
+        A turn not taken in time lapses, and another is drawn. Harm if turns were kept: many gateways without
+        requests save theirs up, and a burst that reaches all sends them at once.
+        """
+        if self.now >= server.cold_until:
+            return 0.0
+        if self.now > server.next_turn + TURN_KEPT * self.s.fall:
+            server.next_turn = self._drawn_turn(server)
+        return server.next_turn - self.now
+
+    def _drawn_turn(self, server: Server) -> float:
+        """Drawn within an interval, lest all gateways take theirs at the same moment."""
+        return self.now + self._interval(server) * self.random.random()
 
     def _interval(self, server: Server) -> float:
-        """Between turns; the first is drawn within it, lest all gateways take theirs at the same moment."""
+        """Between this gateway's turns at a cold server."""
         pace = server.slots * self.s.start_capacity * self.s.overload_factor * COLD_PART
         return self.s.gateways * self.s.cold / max(pace, 1e-3)
 
