Frontend.owes is a call; the end of descriptors is made for certain in its tests

It may say releases that wait, which a property should not. test_at_the_end_of_descriptors... failed once more in a run of its file: `no_descriptor_left` set the limit at the lowest free number, so that where an earlier test had left a hole, what was closed above it could not be had again (read, and not seen since). The holes are filled first now.

--- a/otterglade/node/frontend.py
+++ b/otterglade/node/frontend.py
@@ -214,10 +214,10 @@
 
     # The end of the process
 
-    @property
     def owes(self) -> bool:
         """Whether an end of the process would cut what is owed: bytes of viewers that nobody has read, what
-        they have not been given whole, a last word on its way, a release, newcomers that wait for room."""
+        they have not been given whole, a last word on its way, a release, newcomers that wait for room.
+        Releases that wait are said, if there is anyone to say them to."""
         self._say_unsaid(last=True)
         return (
             bool(self._unsaid and self.viewers)
--- a/otterglade/node/gateway.py
+++ b/otterglade/node/gateway.py
@@ -365,7 +365,7 @@
             return True
         assert self._stopping is not None, "asked once it stops"
         late = now >= self._stopping + STAY + READS_FOR
-        return not late and (self.reactor.behind or self.frontend.owes)
+        return not late and (self.reactor.behind or self.frontend.owes())
 
     def watch_signals(self, wakeup: socket.socket) -> None:
         """Bytes on this socket are numbers of signals."""
--- a/tests/test_node_full.py
+++ b/tests/test_node_full.py
@@ -171,13 +171,18 @@
 def no_descriptor_left() -> Iterator[None]:
     """In this process; what is closed meanwhile may be used again."""
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    lowest = os.dup(0)
-    os.close(lowest)
-    resource.setrlimit(resource.RLIMIT_NOFILE, (lowest, hard))
+    # The limit is on numbers: a number left free under those in use would be the only one to be had again.
+    highest = max(int(x) for x in os.listdir("/proc/self/fd"))
+    held = [os.dup(0)]
+    while held[-1] <= highest:
+        held.append(os.dup(0))
+    resource.setrlimit(resource.RLIMIT_NOFILE, (held[-1] + 1, hard))
     try:
         yield
     finally:
         resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+        for number in held:
+            os.close(number)
 
 
 def test_no_descriptor_for_a_newcomer_makes_no_spin(monkeypatch: pytest.MonkeyPatch) -> None:
