--- a/tests/test_node_discovery.py
+++ b/tests/test_node_discovery.py
@@ -122,7 +122,12 @@
 
 
 @pytest.mark.parametrize("kind", STEADY)
-def test_whatever_is_answered_questions_go_on_at_their_rate(script: Script, kind: str) -> None:
+def test_whatever_is_answered_questions_go_on_at_their_rate(
+    script: Script, kind: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Ids whose first byte is even: by chance "another id" would be that of one more question that is kept.
+    drawn = os.urandom
+    monkeypatch.setattr(os, "urandom", lambda size: bytes((drawn(1)[0] & 0xFE,)) + drawn(size - 1))
     times: list[float] = []
     for turn in range(1, 1001):  # ten seconds
         while len(times) < script.asked:
