--- a/otterglade/node/frontend.py
+++ b/otterglade/node/frontend.py
@@ -20,10 +20,9 @@
 from ..wire import rtsp
 from . import messages
 
-MESSAGES = 8
-"""Messages of one connection handled in a turn, and of these one set-up: set-ups are dear, and with sixteen
-of each of a hundred connections a turn took over a second. Sessions handed over are cheap, and hundreds come
-on a few connections at a start: at one a turn they were read, and could climb, late."""
+MESSAGES = 1
+"""Messages of one connection handled in a turn: set-ups are dear, and with sixteen of each of a hundred
+connections a turn took over a second."""
 AHEAD_MOST = 1 << 18
 """Bytes of a connection looked through for what takes a set-up back before it is read."""
 SILENT_FOR = 2.0
@@ -87,8 +86,6 @@
         """When it last said or was told something."""
         self.asked_at = 0.0
         """When it last sent a set-up."""
-        self.placing = False
-        """In this turn it has asked for a session that has to be placed."""
         self.channel = Channel(frontend.reactor, sock, self)
 
     def connected(self) -> None:
@@ -96,15 +93,8 @@
 
     def heard(self, data: bytes) -> bool:
         self.quiet_since = self.frontend.reactor.clock()
-        self.placing = False
         try:
-            for _ in range(MESSAGES):
-                if not self.reader.several(data, 1, self._one):
-                    return False
-                data = b""
-                if self.placing:
-                    break
-            return True
+            return self.reader.several(data, MESSAGES, self._one)
         except rtsp.RtspError as error:
             self.frontend.unreadable(self, str(error))
             return False
@@ -362,7 +352,6 @@
                 viewer.channel.send(messages.refused(session, self.settings.note_delay))
                 return
             viewer.open[session] = client
-            viewer.placing = True
         else:
             client.open = False
             viewer.useful = True
