--- a/otterglade/core/fleet/duty.py
+++ b/otterglade/core/fleet/duty.py
@@ -24,7 +24,7 @@
 
 import msgspec
 
-from .fleet import Send
+from .actions import Send, Write
 from .members import Members
 from .messages import Kind, Message
 from .register import MOST_COUNTER as MOST_COUNTER
@@ -109,14 +109,6 @@
     """Bytes that are no record of this program."""
 
 
-@dataclass(frozen=True, slots=True)
-class Write:
-    """Make durable, then call `written`."""
-
-    record: bytes
-    token: int
-
-
 @dataclass(frozen=True, slots=True)
 class Turn:
     """For the log: something of a duty has changed here."""
@@ -127,7 +119,7 @@
     why: str
 
 
-Out = Send | Write
+Action = Send | Write
 P = TypeVar("P", Part, Told)
 
 
@@ -201,9 +193,14 @@
     """One gateway's part in all duties. Every method takes the time and says what to send and to write."""
 
     def __init__(
-        self, members: Members, voters: Voters, works: Sequence[Work], now: float, seed: int,
+        self,
+        members: Members,
+        voters: Voters,
+        works: Sequence[Work],
+        now: float,
+        seed: int,
         pace: Pace | None = None,
-    ) -> None:  # fmt: skip
+    ) -> None:
         """Raises ValueError where a voter is no member, or for more duties than MOST_DUTIES."""
         self.members = members
         """May be put in the place of one with a lower boot, of the same run: a ballot is never made twice."""
@@ -228,7 +225,7 @@
         self._writes: dict[int, _Writing] = {}
         self._tokens = 0
         self._appended = 0
-        self._unsaid: list[Out] = []
+        self._unsaid: list[Action] = []
         """To be done at the next tick."""
         self.changes: deque[Turn] = deque(maxlen=MOST_CHANGES)
 
@@ -299,7 +296,7 @@
         self._writes[self._tokens] = _Writing(line, record, to, question)
         return Write(msgspec.msgpack.encode(record), self._tokens)
 
-    def written(self, now: float, token: int, trouble: str = "") -> list[Out]:
+    def written(self, now: float, token: int, trouble: str = "") -> list[Action]:
         """A record is durable, or can't be."""
         self._wake(now)
         writing = self._writes.pop(token, None)
@@ -330,7 +327,7 @@
         times += [x.at + self.pace.answer for x in self._asked.values() if not x.answered]
         return min(times)
 
-    def tick(self, now: float) -> list[Out]:
+    def tick(self, now: float) -> list[Action]:
         out, self._unsaid = self._unsaid, []
         self._wake(now)
         if now >= self._next:
@@ -388,8 +385,8 @@
             line.tried += 1
             line.try_at = now + mine.retry + self._wait(line.tried)
 
-    def _period(self, now: float) -> list[Out]:
-        out: list[Out] = []
+    def _period(self, now: float) -> list[Action]:
+        out: list[Action] = []
         self._asked = {x: y for x, y in self._asked.items() if now < y.at + self.pace.hold}
         for line in self._lines.values():
             line.sums = {x: y for x, y in line.sums.items() if now - y[0] < FRESH * self.pace.period}
@@ -403,7 +400,7 @@
             out += self._rebuild(now, line)
         return out
 
-    def _decide(self, now: float, line: _Line) -> list[Out]:
+    def _decide(self, now: float, line: _Line) -> list[Action]:
         """As owner: once the orders of the one before have run out, and one state after another."""
         mine = line.proposer
         if mine.stage is not Stage.OWNS or mine.held is None:
@@ -428,9 +425,9 @@
 
     # Voting
 
-    def _asks(self, now: float, line: _Line, asked: list[Asked]) -> list[Out]:
+    def _asks(self, now: float, line: _Line, asked: list[Asked]) -> list[Action]:
         """Carry questions to voters, to the own voter within."""
-        out: list[Out] = []
+        out: list[Action] = []
         for to, question, vote in asked:
             if to != self.members.name:
                 out.append(self._say(Kind.VOTE, to, now, vote, question))
@@ -438,7 +435,7 @@
                 out += self._vote(now, line, to, self.members.run, question, vote)
         return out
 
-    def _vote(self, now: float, line: _Line, to: str, run: str, question: int, vote: Vote) -> list[Out]:
+    def _vote(self, now: float, line: _Line, to: str, run: str, question: int, vote: Vote) -> list[Action]:
         """As voter: answer, or write first."""
         assert line.acceptor is not None, "votes"
         word, record = line.acceptor.ask(now, to, run, vote)
@@ -446,13 +443,13 @@
             return [self._write(line, record, to, question)]
         return [] if word is None else self._word(now, line, to, question, word)
 
-    def _word(self, now: float, line: _Line, to: str, question: int, word: Voted) -> list[Out]:
+    def _word(self, now: float, line: _Line, to: str, question: int, word: Voted) -> list[Action]:
         word = msgspec.structs.replace(word, seen=line.proposer.seen)
         if to != self.members.name:
             return [self._say(Kind.VOTED, to, now, word, question)] if to in self.members.peers else []
         return self._told(now, line, to, question, word)
 
-    def _told(self, now: float, line: _Line, voter: str, question: int, word: Voted) -> list[Out]:
+    def _told(self, now: float, line: _Line, voter: str, question: int, word: Voted) -> list[Action]:
         before = None if line.proposer.held is None else line.proposer.held.mark
         out = self._asks(now, line, line.proposer.told(now, voter, question, word))
         self._settle(now, line)
@@ -461,7 +458,7 @@
             out += self._publish(now, line)
         return out
 
-    def _rebuild(self, now: float, line: _Line) -> list[Out]:
+    def _rebuild(self, now: float, line: _Line) -> list[Action]:
         """A voter that may have forgotten asks the others what they have, once its word is out of use."""
         acceptor = line.acceptor
         if acceptor is None or acceptor.state is not Voter.ABSTAINS or self._abstains or now < line.read_at:
@@ -481,10 +478,10 @@
 
     # What is heard
 
-    def received(self, now: float, message: Message) -> list[Out]:
+    def received(self, now: float, message: Message) -> list[Action]:
         """A message that Members has taken."""
         self._wake(now)
-        out: list[Out] = []
+        out: list[Action] = []
         try:
             match message.kind:
                 case Kind.VOTE:
@@ -510,7 +507,7 @@
     def _drop(self, why: str) -> None:
         self.members.dropped[why] = self.members.dropped.get(why, 0) + 1
 
-    def _voting(self, now: float, message: Message, vote: Vote) -> list[Out]:
+    def _voting(self, now: float, message: Message, vote: Vote) -> list[Action]:
         line = self._lines.get(vote.duty)
         if line is None or (vote.held is not None and len(vote.held.state) > MOST_STATE):
             self._drop("unknown duty" if line is None else "unreadable body")
@@ -561,7 +558,7 @@
         drawn = self._other(*voters) if self._random.random() < share else ""
         return drawn or self._other(*self.members.living())
 
-    def _upwards(self, now: float) -> list[Out]:
+    def _upwards(self, now: float) -> list[Action]:
         """Ask the one above for what holds, one message for all duties that are asked of the same one. Who
         gets no answer asks another, and tells it nothing: a sum goes one way."""
         for question in self._asked.values():
@@ -588,7 +585,7 @@
                 told = self._sum(now, line) if first and above else b""
                 part = Part(line.work.name, term, number, line.root_term, told)
                 wanted.setdefault(to, []).append(part)
-        out: list[Out] = []
+        out: list[Action] = []
         for to, parts in wanted.items():
             for group in _packed(parts):
                 self._questions += 1
@@ -596,7 +593,7 @@
                 out.append(self._say(Kind.UP, to, now, Up(tuple(group)), self._questions))
         return out
 
-    def _up(self, now: float, message: Message, up: Up) -> list[Out]:
+    def _up(self, now: float, message: Message, up: Up) -> list[Action]:
         told: list[Told] = []
         for part in up.parts[:MOST_DUTIES]:
             line = self._lines.get(part.duty)
@@ -630,14 +627,14 @@
         owner, term = (owner, term) if term > order.term else ("", 0)
         return Told(line.work.name, *order.mark, order.owner, order.until - now, state, owner, term)
 
-    def _down(self, now: float, message: Message, down: Down) -> list[Out]:
+    def _down(self, now: float, message: Message, down: Down) -> list[Action]:
         """An answer: counts only to a question that is open, from whom it was put to."""
         question = self._asked.get(message.question)
         if question is None or question.to != message.sender or now >= question.at + self.pace.hold:
             self._drop("answers nothing")
             return []
         question.answered = True
-        out: list[Out] = []
+        out: list[Action] = []
         for told in down.told[:MOST_DUTIES]:
             line = self._lines.get(told.duty)
             if line is None or told.duty not in question.duties:
@@ -657,12 +654,12 @@
                 line.ask_at = min(line.ask_at, now + self.pace.again)
         return out
 
-    def _publish(self, now: float, line: _Line) -> list[Out]:
+    def _publish(self, now: float, line: _Line) -> list[Action]:
         """The owner obeys as all do."""
         told = self._tells(now, line, (-1, -1))
         return self._hear(now, line, told, now + self.pace.hold)
 
-    def _hear(self, now: float, line: _Line, told: Told, until: float) -> list[Out]:
+    def _hear(self, now: float, line: _Line, told: Told, until: float) -> list[Action]:
         """An order that holds until then: obeyed unless it is older than one that was."""
         fence, mark = line.fence, (told.term, told.number)
         if now >= until:
@@ -698,7 +695,7 @@
         line.coming = order
         return [self._write(line, _fence(order))]
 
-    def _fenced(self, now: float, line: _Line, trouble: str) -> list[Out]:
+    def _fenced(self, now: float, line: _Line, trouble: str) -> list[Action]:
         """The mark of the order that is coming is durable, or can't be: then it is not obeyed."""
         order, line.coming = line.coming, None
         assert order is not None, "one fence at a time is written"
@@ -708,7 +705,7 @@
         line.stand(_fence(order))
         return self._obey(now, line, order) if now < order.until else []
 
-    def _obey(self, now: float, line: _Line, order: Order) -> list[Out]:
+    def _obey(self, now: float, line: _Line, order: Order) -> list[Action]:
         line.order = order
         line.work.obey(now, order)
         return []
@@ -720,17 +717,18 @@
 
     # Stop
 
-    def hand_over(self, now: float) -> list[Out]:
+    def hand_over(self, now: float) -> list[Action]:
         """This gateway stops as planned: its duties go to the best of the living, within a message's time."""
         self._wake(now)
         self._stopping = True
         return [x for line in self._lines.values() for x in self._hand(now, line)]
 
-    def _hand(self, now: float, line: _Line) -> list[Out]:
+    def _hand(self, now: float, line: _Line) -> list[Action]:
         there = [
-            x for x in self.members.living()
+            x
+            for x in self.members.living()
             if self.members.standing(x) is Standing.ALIVE and self.members.peers[x].run
-        ]  # fmt: skip
+        ]
         best = min(there, key=self._place.__getitem__, default="")
         if not best and line.proposer.owns:
             return []  # nobody is there: its lease runs out
@@ -750,10 +748,12 @@
     def status(self, now: float) -> dict[str, object]:
         """This gateway's view, for operators."""
         return {
-            "voters": list(self.voters.names), "voters_number": self.voters.number,
-            "voters_forced": self.voters.forced, "abstains": self.abstains,
+            "voters": list(self.voters.names),
+            "voters_number": self.voters.number,
+            "voters_forced": self.voters.forced,
+            "abstains": self.abstains,
             "duties": {x: self._status(now, y) for x, y in self._lines.items()},
-        }  # fmt: skip
+        }
 
     def _status(self, now: float, line: _Line) -> dict[str, object]:
         mine, order, fence = line.proposer, line.order, line.fence
@@ -771,12 +771,13 @@
             "why": "" if order is not None else mine.why,
             "voters_heard": f"{len(heard)} of {len(self.voters.all)}",
             "voter": None if acceptor is None else acceptor.state.value,
-            "settled": None if acceptor is None or acceptor.kept.held is None
+            "settled": None
+            if acceptor is None or acceptor.kept.held is None
             else acceptor.kept.held.voters_number,
             "above": line.root,
             "told_by": len(line.sums),
             "refused": dict(line.refused),
-        }  # fmt: skip
+        }
 
 
 def _weight(name: str) -> bytes:
--- a/otterglade/core/fleet/fleet.py
+++ b/otterglade/core/fleet/fleet.py
@@ -7,21 +7,18 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
-from typing import TYPE_CHECKING, TypeAlias
 
 import msgspec
 
 from ..attempts import Entry
 from ..claims import Claim
+from .actions import Drop, Keep, Polled, Send, Store, Write
+from .duty import Duties
 from .members import Members
 from .messages import Kind, Message
+from .routes import Check, Routes
 from .witness import SETTLES, Poll, Settled, Witness, Word, witnesses
 
-if TYPE_CHECKING:  # duties send too, and so import from here
-    from .duty import Duties, Write
-    from .routes import Check, Drop, Routes, Store
-
 AGAIN = 0.08
 """Seconds after which a witness that has not answered is asked again: ten times what an answer takes with its
 disk, a fifth of what it may take."""
@@ -29,38 +26,22 @@
 """Seconds of a paid viewer's patience for a witness to say anything, if only that its disk is at it."""
 
 
-@dataclass(frozen=True, slots=True)
-class Send:
-    message: Message
-
-
-@dataclass(frozen=True, slots=True)
-class Keep:
-    """Make a record durable, then tell `kept`; None: nothing to write."""
-
-    record: bytes | None
-    to: str = ""
-    """Who waits for the word; this gateway itself, or empty: nobody."""
-    word: Word | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class Polled:
-    """What is known of an attempt's witnesses has changed."""
-
-    setup: str
-
-
-Out: TypeAlias = "Send | Keep | Polled | Write | Store | Drop | Check"
+Action = Send | Keep | Polled | Write | Store | Drop | Check
+"""Whatever a gateway's fleet may ask for."""
 
 
 class Fleet:
     """See the module's page. Every method takes the time first and returns what is to be done, in order."""
 
     def __init__(
-        self, members: Members, witness: Witness, gateways: Iterable[str], count: int,
-        duties: Duties | None = None, routes: Routes | None = None,
-    ) -> None:  # fmt: skip
+        self,
+        members: Members,
+        witness: Witness,
+        gateways: Iterable[str],
+        count: int,
+        duties: Duties | None = None,
+        routes: Routes | None = None,
+    ) -> None:
         """`duties`: None where no voters are configured; `routes`: one of their works, where there are
         rules."""
         self.members, self.witness, self.duties, self.routes = members, witness, duties, routes
@@ -76,8 +57,8 @@
         times += [x.due() for x in (self.duties, self.routes) if x is not None]
         return min(times)
 
-    def tick(self, now: float) -> list[Out]:
-        out: list[Out] = [Send(x) for x in self.members.tick(now)]
+    def tick(self, now: float) -> list[Action]:
+        out: list[Action] = [Send(x) for x in self.members.tick(now)]
         for setup, poll in list(self._polls.items()):
             if now >= poll.until:
                 poll.silent(now)
@@ -91,10 +72,10 @@
             out += self.routes.tick(now)
         return out
 
-    def received(self, now: float, message: Message) -> list[Out]:
+    def received(self, now: float, message: Message) -> list[Action]:
         """A message whose seal was good."""
         heard = self.members.received(now, message)
-        out: list[Out] = [Send(x) for x in heard.answers]
+        out: list[Action] = [Send(x) for x in heard.answers]
         if not heard.taken:
             return out
         if message.kind in (Kind.VOTE, Kind.VOTED, Kind.UP, Kind.DOWN):
@@ -116,7 +97,7 @@
             self.members.dropped["unreadable body"] = self.members.dropped.get("unreadable body", 0) + 1
         return out
 
-    def kept(self, now: float, keep: Keep, trouble: str = "") -> list[Out]:
+    def kept(self, now: float, keep: Keep, trouble: str = "") -> list[Action]:
         """A record is durable, or `trouble` says why it can't be: then this gateway abstains."""
         if keep.word is None:
             return []
@@ -135,7 +116,7 @@
 
     # Own attempts
 
-    def poll(self, now: float, poll: Poll) -> list[Out]:
+    def poll(self, now: float, poll: Poll) -> list[Action]:
         """Ask an attempt's witnesses, this gateway among them where it is one."""
         poll.again, poll.until = now + AGAIN, now + WITHIN
         self._polls[poll.claim.setup] = poll
@@ -147,7 +128,7 @@
             out.append(Keep(record, self.members.name, word))
         return out
 
-    def _asked(self, now: float, poll: Poll) -> list[Out]:
+    def _asked(self, now: float, poll: Poll) -> list[Action]:
         body = msgspec.msgpack.encode(poll.claim)
         return [
             Send(self.members.message(Kind.CLAIM, x, now, body=body))
@@ -155,20 +136,20 @@
             if x != self.members.name
         ]
 
-    def _told(self, witness: str, word: Word) -> list[Out]:
+    def _told(self, witness: str, word: Word) -> list[Action]:
         poll = self._polls.get(word.setup)
         if poll is None or not poll.told(witness, word):
             return []
         return self._polled(word.setup, poll)
 
-    def _polled(self, setup: str, poll: Poll) -> list[Out]:
+    def _polled(self, setup: str, poll: Poll) -> list[Action]:
         if poll.verdict is None:
             return []
         del self._polls[setup]
         self.unwitnessed += not poll.granted
         return [Polled(setup)]
 
-    def fated(self, now: float, entry: Entry, session_class: str) -> list[Out]:
+    def fated(self, now: float, entry: Entry, session_class: str) -> list[Action]:
         """What became of an own attempt: its witnesses are told, and nobody waits for it. A word that is lost
         costs the next claimant a question."""
         if entry.fate not in SETTLES:
@@ -176,7 +157,7 @@
         viewer, _, title = entry.key
         settled = Settled(viewer, session_class, title, entry.setup, SETTLES[entry.fate])
         body = msgspec.msgpack.encode(settled)
-        out: list[Out] = []
+        out: list[Action] = []
         for witness in witnesses((viewer, session_class, title), self._gateways, self._count):
             if witness == self.members.name:
                 out.append(Keep(self.witness.settled(now, settled)))
--- a/otterglade/core/fleet/parts.py
+++ b/otterglade/core/fleet/parts.py
@@ -18,7 +18,7 @@
 
 import msgspec
 
-from .fleet import Send
+from .actions import Send
 from .members import Members
 from .messages import Kind, Message
 from .routing import DIGEST_BYTES
@@ -133,7 +133,7 @@
     digest: str
 
 
-Out = Send | Got | Missed
+Action = Send | Got | Missed
 
 
 @dataclass(slots=True)
@@ -254,16 +254,19 @@
         return [(x, y) for x, y in self._things.items() if y.stage is Stage.WAITING]
 
     def _under_way(self) -> int:
-        return sum(bool(x.tries or x.came or x.stage is Stage.ASKING) for x in self._things.values()
-                   if x.stage in (Stage.WAITING, Stage.ASKING))  # fmt: skip
+        return sum(
+            bool(x.tries or x.came or x.stage is Stage.ASKING)
+            for x in self._things.values()
+            if x.stage in (Stage.WAITING, Stage.ASKING)
+        )
 
     def due(self) -> float:
         """When `tick` has something to do next."""
         due = min((x.until for x in self._things.values()), default=math.inf)
         return min(due, self._next) if self._waiting() else due
 
-    def tick(self, now: float) -> list[Out]:
-        out: list[Out] = []
+    def tick(self, now: float) -> list[Action]:
+        out: list[Action] = []
         for digest, thing in list(self._things.items()):
             if thing.stage is Stage.ASKING and now >= thing.until:
                 out += self._failed(digest, thing, Event.SILENT)
@@ -271,7 +274,7 @@
             out += self._turn(now)
         return out
 
-    def _turn(self, now: float) -> list[Out]:
+    def _turn(self, now: float) -> list[Action]:
         """One question: of those that wait, what is under way before what has not begun."""
         free = self._under_way() < FETCHES
         begun = [(x, y) for x, y in self._waiting() if free or y.tries or y.came]
@@ -298,7 +301,7 @@
         body = msgspec.msgpack.encode(Fetch(bytes.fromhex(digest), indexes))
         return [Send(self.members.message(Kind.FETCH, thing.holder, now, question=thing.question, body=body))]
 
-    def _failed(self, digest: str, thing: _Thing, event: Event) -> list[Out]:
+    def _failed(self, digest: str, thing: _Thing, event: Event) -> list[Action]:
         thing.tries += 1
         if thing.fruitless or event is Event.FORGED:
             thing.holders = [x for x in thing.holders if x != thing.holder]
@@ -311,7 +314,7 @@
 
     # Messages
 
-    def received(self, now: float, message: Message) -> list[Out]:
+    def received(self, now: float, message: Message) -> list[Action]:
         """A FETCH or a PART whose sender, run and number were good."""
         try:
             if message.kind is Kind.FETCH:
@@ -321,7 +324,7 @@
             self._drop("unreadable")
             return []
 
-    def _serve(self, now: float, message: Message, fetch: Fetch) -> list[Out]:
+    def _serve(self, now: float, message: Message, fetch: Fetch) -> list[Action]:
         if len(fetch.digest) != DIGEST_BYTES or min(fetch.indexes, default=-1) < 0:
             self._drop("unreadable")
             return []
@@ -346,7 +349,7 @@
             for x in bodies
         ]
 
-    def _part(self, message: Message, part: Part) -> list[Out]:
+    def _part(self, message: Message, part: Part) -> list[Action]:
         digest = part.digest.hex()
         thing = self._things.get(digest)
         if (
@@ -381,7 +384,7 @@
         self._move(digest, thing, Event.CAME if open_ else Event.BATCH)
         return []
 
-    def _whole(self, digest: str, thing: _Thing) -> list[Out]:
+    def _whole(self, digest: str, thing: _Thing) -> list[Action]:
         packed = b"".join(thing.came[x] for x in range(thing.parts))
         unpack = zlib.decompressobj()
         try:
--- a/otterglade/core/fleet/routes.py
+++ b/otterglade/core/fleet/routes.py
@@ -15,6 +15,7 @@
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 
+from .actions import Drop, Send, Store
 from .conflicts import Conflict, Kind, conflicts
 from .editions import (
     FORCED,
@@ -35,8 +36,7 @@
     joined,
     key_of,
     mark_of,
-)  # fmt: skip
-from .fleet import Send
+)
 from .members import Members
 from .messages import Message
 from .parts import Got, Missed, Parts
@@ -58,21 +58,6 @@
 Judge = Callable[[Sequence[Routing]], Sequence[Conflict]]
 
 
-@dataclass(frozen=True, slots=True)
-class Store:
-    """Make a routing part durable under its digest, then call `stored`."""
-
-    digest: str
-    data: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class Drop:
-    """A routing part that is no longer of use on disk."""
-
-    digest: str
-
-
 @dataclass(frozen=True, slots=True)
 class Verdict:
     kind: str = ""
@@ -111,7 +96,7 @@
         return Verdict()
 
 
-Out = Send | Store | Drop | Check
+Action = Send | Store | Drop | Check
 
 
 @dataclass(frozen=True, slots=True)
@@ -173,9 +158,14 @@
     lasting = True
 
     def __init__(
-        self, region: Region, members: Members, router: Router, now: float, seed: int,
+        self,
+        region: Region,
+        members: Members,
+        router: Router,
+        now: float,
+        seed: int,
         judge: Judge = conflicts,
-    ) -> None:  # fmt: skip
+    ) -> None:
         self._region, self._key = region, key_of(region.name)
         self._members, self._router, self._judge = members, router, judge
         self.parts = Parts(members, now, seed)
@@ -194,7 +184,7 @@
         """The edition beside which a person has said that nothing is acted on here."""
         self._pending: dict[tuple[bytes, bytes, bytes], _Pending] = {}
         self._reasons: dict[Edition, _Told] = {}
-        self._out: list[Out] = []
+        self._out: list[Action] = []
         self._trouble = ""
         self._tokens = 0
         self._decided = Book()
@@ -236,8 +226,12 @@
         """
         region = routing.region
         if region is None or region.name != self._region.name:
-            self._note("error", "routes_region_stays", region=self._region.name,
-                       found=None if region is None else region.name)  # fmt: skip
+            self._note(
+                "error",
+                "routes_region_stays",
+                region=self._region.name,
+                found=None if region is None else region.name,
+            )
             return
         edition = bytes.fromhex(routing.digest)
         self._script = routing.digest
@@ -272,10 +266,10 @@
     def due(self) -> float:
         return -math.inf if self._out else self.parts.due()
 
-    def tick(self, now: float) -> list[Out]:
+    def tick(self, now: float) -> list[Action]:
         return self._fetched(now, self.parts.tick(now)) + self._taken()
 
-    def received(self, now: float, message: Message) -> list[Out]:
+    def received(self, now: float, message: Message) -> list[Action]:
         """A FETCH or a PART that members have taken."""
         return self._fetched(now, self.parts.received(now, message)) + self._taken()
 
@@ -512,8 +506,13 @@
         before, self._acting = self._acting, bytes.fromhex(own.digest)
         self._router.act(own, others)
         if before != self._acting:
-            self._note("info", "routes_in_force", edition=own.digest, before=before.hex(),
-                       mark=list(self._state.mark))  # fmt: skip
+            self._note(
+                "info",
+                "routes_in_force",
+                edition=own.digest,
+                before=before.hex(),
+                mark=list(self._state.mark),
+            )
             if self._script and self._script != own.digest and self._mine is None:
                 self._note("warning", "routes_script_differs", acting=own.digest, script=self._script)
 
@@ -554,10 +553,11 @@
                 continue
             told.until = math.inf
             self.last_refusal = {
-                "edition": edition[1].hex(), "kind": told.refusal.kind,
+                "edition": edition[1].hex(),
+                "kind": told.refusal.kind,
                 "why": "can't be had any more" if text is None else text.decode(errors="replace"),
                 "own": edition[0] == self._key,
-            }  # fmt: skip
+            }
             event = "routes_forced" if told.refusal.kind == FORCED else "routes_refused"
             self._note("warning", event, **self.last_refusal)
 
@@ -622,8 +622,8 @@
             self._durable.discard(digest)
             self._out.append(Drop(digest))
 
-    def _fetched(self, now: float, found: Iterable[Send | Got | Missed]) -> list[Out]:
-        out: list[Out] = []
+    def _fetched(self, now: float, found: Iterable[Send | Got | Missed]) -> list[Action]:
+        out: list[Action] = []
         texts = {x.refusal.more.hex() for x in self._reasons.values()}
         for one in found:
             match one:
@@ -637,7 +637,7 @@
                     pass  # whoever still wants it does so at the next order or decision
         return out
 
-    def _taken(self) -> list[Out]:
+    def _taken(self) -> list[Action]:
         out, self._out = self._out, []
         return out
 
@@ -662,7 +662,8 @@
                     "newest": y.hex(),
                     "stage": self._stages.get((x, y), Stage.ABSENT).value,
                     "may_act_on": [z.hex() for z in book.older.get(x, ())],
-                } for x, y in sorted(book.newest.items())
+                }
+                for x, y in sorted(book.newest.items())
             },
             "proposed": None if self._mine is None else self._mine.edition.hex(),
             "pending": [
@@ -673,7 +674,7 @@
             "counts": {x: getattr(self.counts, x) for x in _Counts.__slots__},
             "parts_dropped": dict(self.parts.dropped),
             "router": self._router.status(),
-        }  # fmt: skip
+        }
 
 
 def _answered(book: Book, proposal: Proposal) -> bool:
--- a/otterglade/explore/duties.py
+++ b/otterglade/explore/duties.py
@@ -25,8 +25,8 @@
 
 import msgspec
 
-from ..core.fleet.duty import Duties, Pace, Voters, Write
-from ..core.fleet.fleet import Send
+from ..core.fleet.actions import Send, Write
+from ..core.fleet.duty import Duties, Pace, Voters
 from ..core.fleet.members import Members
 from ..core.fleet.messages import Kind, Message
 from ..core.fleet.work import MOST_STATE, Order
@@ -106,9 +106,20 @@
 
 
 RARE = (
-    "lost", "late", "doubled", "slow", "full", "stops", "kills", "powers", "cuts", "blank", "old", "handed",
+    "lost",
+    "late",
+    "doubled",
+    "slow",
+    "full",
+    "stops",
+    "kills",
+    "powers",
+    "cuts",
+    "blank",
+    "old",
+    "handed",
     "packed",
-)  # fmt: skip
+)
 """The fields of a scope that bound what nobody wants."""
 
 
@@ -537,9 +548,10 @@
             if gate.up and not gate.stopped and world.now >= gate.forgetful:
                 acts.append(("sound", n))
     acts += [
-        ("arrives late", n) for n, x in enumerate(world.flights)
+        ("arrives late", n)
+        for n, x in enumerate(world.flights)
         if x.held and (turns or x.held == 1 or not world.scope.grid) and not world.of(x.message.to).stopped
-    ]  # fmt: skip
+    ]
     if world.faults < world.scope.faults:
         acts += _faults(world, turns)
     return acts
@@ -711,10 +723,33 @@
 
 
 _PASSED_OVER = frozenset(
-    ("spins", "refused", "dropped", "changes", "heard", "why", "_appended", "_questions", "_tokens", "_asked",
-     "_writes", "scope", "names", "seed", "began", "offset", "rate", "_place", "_names", "_began", "name",
-     "lasting", "duty", "last")
-)  # fmt: skip
+    (
+        "spins",
+        "refused",
+        "dropped",
+        "changes",
+        "heard",
+        "why",
+        "_appended",
+        "_questions",
+        "_tokens",
+        "_asked",
+        "_writes",
+        "scope",
+        "names",
+        "seed",
+        "began",
+        "offset",
+        "rate",
+        "_place",
+        "_names",
+        "_began",
+        "name",
+        "lasting",
+        "duty",
+        "last",
+    )
+)
 """Fields that no decision looks at, those that never change, and counters of what is only told apart."""
 
 
--- a/otterglade/explore/rollout.py
+++ b/otterglade/explore/rollout.py
@@ -12,13 +12,13 @@
 from collections import deque
 from collections.abc import Iterable, Mapping, Sequence
 
+from ..core.fleet.actions import Drop, Send, Store
 from ..core.fleet.conflicts import conflicts
 from ..core.fleet.editions import Book, key_of
-from ..core.fleet.fleet import Send
 from ..core.fleet.members import Members
 from ..core.fleet.messages import Message
 from ..core.fleet.router import Router
-from ..core.fleet.routes import Check, Drop, Out, Routes, Store
+from ..core.fleet.routes import Action, Check, Routes
 from ..core.fleet.routing import Region, Routing, decode
 from ..core.fleet.standing import Standing
 from ..core.fleet.work import MOST_STATE, Order
@@ -62,7 +62,7 @@
     def propose(self, routing: Routing, start: bool = False, forced: str = "") -> None:
         self.routes.propose(self.town.now, routing, start, forced)
 
-    def carry(self, out: Iterable[Out]) -> None:
+    def carry(self, out: Iterable[Action]) -> None:
         for one in out:
             match one:
                 case Send(message):
--- a/otterglade/gateway/peers.py
+++ b/otterglade/gateway/peers.py
@@ -21,14 +21,15 @@
 from ..core import messages as d
 from ..core.attempts import Entry
 from ..core.desk import Desk
-from ..core.fleet.duty import Duties, DutyError, Voters, Write
-from ..core.fleet.fleet import Fleet, Keep, Out, Polled, Send
+from ..core.fleet.actions import Drop, Keep, Polled, Send, Store, Write
+from ..core.fleet.duty import Duties, DutyError, Voters
+from ..core.fleet.fleet import Action, Fleet
 from ..core.fleet.members import Members
 from ..core.fleet.messages import MOST, Message, Seal, SealError
 from ..core.fleet.recovery import Event, Phase, Returns, Start, what_happened
 from ..core.fleet.register import Stage
 from ..core.fleet.router import Router
-from ..core.fleet.routes import Check, Drop, Routes, Store
+from ..core.fleet.routes import Check, Routes
 from ..core.fleet.routing import Routing
 from ..core.fleet.standing import Standing
 from ..core.fleet.trust import Thing, keeps
@@ -77,12 +78,26 @@
     """A gateway's part in the fleet. `open` before the loop runs, `start` after."""
 
     def __init__(
-        self, config: Peers, *, name: str, run: str, folder: Path, seal: Seal, seed: int, unsure_for: float,
-        loop: Callable[[], Loop], polled: Callable[[Desk, float, str], list[d.Order]],
-        settled: Callable[[], bool], epochs: Mapping[int, str], log: Logger,
-        on_failure: Failure, disk: Disk | None = None, works: Iterable[Work] = (),
-        routing: Routing | None = None, router: Router | None = None,
-    ) -> None:  # fmt: skip
+        self,
+        config: Peers,
+        *,
+        name: str,
+        run: str,
+        folder: Path,
+        seal: Seal,
+        seed: int,
+        unsure_for: float,
+        loop: Callable[[], Loop],
+        polled: Callable[[Desk, float, str], list[d.Order]],
+        settled: Callable[[], bool],
+        epochs: Mapping[int, str],
+        log: Logger,
+        on_failure: Failure,
+        disk: Disk | None = None,
+        works: Iterable[Work] = (),
+        routing: Routing | None = None,
+        router: Router | None = None,
+    ) -> None:
         """`polled`: told when an attempt's witnesses have answered. `settled`: whether all that was open at
         the start is found out. `epochs`: of the hosts' present runs. Raises OSError where the address can't
         be had."""
@@ -164,9 +179,14 @@
         """`votes`: what the log of duties holds."""
         config = self._config
         members = Members(
-            self._name, self._identity.boot, self._run, self._addresses, now, self._seed +
-            self._identity.boot, floors=self._identity.others,
-        )  # fmt: skip
+            self._name,
+            self._identity.boot,
+            self._run,
+            self._addresses,
+            now,
+            self._seed + self._identity.boot,
+            floors=self._identity.others,
+        )
         duties, routes = None, self._make_routes(members, now)
         if config.voters:
             works = [Noted(x, self._logger) for x in self.works]
@@ -302,7 +322,7 @@
 
     # On the loop
 
-    def _carry(self, desk: Desk, now: float, out: list[Out]) -> list[d.Order]:
+    def _carry(self, desk: Desk, now: float, out: list[Action]) -> list[d.Order]:
         """Carry out what the fleet's part says; the orders of the desk that come of it."""
         orders: list[d.Order] = []
         for one in out:
@@ -583,15 +603,23 @@
         ages = {x.name: now - x.began for x in heard}
         behind = members.boot - 1 if self._identity.forgetful else 0
         returns.start = what_happened(
-            members.boot, behind, ages, now - members.began, self._hosts_anew(),
+            members.boot,
+            behind,
+            ages,
+            now - members.began,
+            self._hosts_anew(),
             returns.bounds,
-        )  # fmt: skip
+        )
         members.phase = returns.phase.value
         left, seconds, why = returns.history[-1]
         self._logger.info(
-            "phase", left=left.value, after_s=round(seconds, 3), why=why, phase=returns.phase.value,
+            "phase",
+            left=left.value,
+            after_s=round(seconds, 3),
+            why=why,
+            phase=returns.phase.value,
             start=returns.start.value,
-        )  # fmt: skip
+        )
 
     def _hosts_anew(self) -> tuple[int, int]:
         """Of the hosts whose run an earlier run of this gateway knew and this one does: how many, and how
@@ -627,8 +655,8 @@
             "since_s": round(now - self.returns.since, 3),
             "start": None if self.returns.start is None else self.returns.start.value,
             "steps": [
-                {"phase": x.value, "seconds": round(y, 3), "ended_by": z} for x, y, z in
-                list(self.returns.history)
+                {"phase": x.value, "seconds": round(y, 3), "ended_by": z}
+                for x, y, z in list(self.returns.history)
             ],
             "turned_away": self.returns.turned_away,
             "health": members.health,
@@ -644,10 +672,13 @@
             **({} if self.fleet.duties is None else {"duties": self.fleet.duties.status(now)}),
             "peers": {
                 x.name: {
-                    "standing": x.standing.value, "since_s": round(now - x.since, 3), "why": x.why,
-                    "boot": x.number[0], "phase": x.phase,
+                    "standing": x.standing.value,
+                    "since_s": round(now - x.since, 3),
+                    "why": x.why,
+                    "boot": x.number[0],
+                    "phase": x.phase,
                     "heard_s": round(now - x.heard, 3) if x.run and x.heard > 0 else None,
                 }
                 for x in list(members.peers.values())
             },
-        }  # fmt: skip
+        }
--- a/tests/test_duty.py
+++ b/tests/test_duty.py
@@ -13,8 +13,9 @@
 import msgspec
 import pytest
 
-from otterglade.core.fleet.duty import Down, Duties, Fence, Part, Told, Up, Voters, Write, _packed
-from otterglade.core.fleet.fleet import Fleet, Send
+from otterglade.core.fleet.actions import Send, Write
+from otterglade.core.fleet.duty import Down, Duties, Fence, Part, Told, Up, Voters, _packed
+from otterglade.core.fleet.fleet import Fleet
 from otterglade.core.fleet.members import Members
 from otterglade.core.fleet.messages import MOST, Kind, Message, Seal
 from otterglade.core.fleet.register import Ask, Held, Record, Says, Stage, Vote, Voted, Voter
@@ -79,9 +80,15 @@
     """`run(until)`; between two of them the caller commands links, processes and disks."""
 
     def __init__(
-        self, count: int, seed: int, voters: Voters | None = None, *, drift: float = 0.0,
-        duties: Sequence[tuple[str, bool]] = (("shed", False),), every: int = 4,
-    ) -> None:  # fmt: skip
+        self,
+        count: int,
+        seed: int,
+        voters: Voters | None = None,
+        *,
+        drift: float = 0.0,
+        duties: Sequence[tuple[str, bool]] = (("shed", False),),
+        every: int = 4,
+    ) -> None:
         self.random = random.Random(seed)
         self.names = [f"g{n}" for n in range(count)]
         self.voters = voters or Voters(tuple(self.names[: 5 if count >= 5 else 3]))
@@ -300,9 +307,10 @@
 
     def owning(self, duty: str = "shed") -> list[str]:
         return [
-            x for x, y in self.places.items()
+            x
+            for x, y in self.places.items()
             if y.fleet is not None and y.stopped is None and self.of(x)._lines[duty].proposer.owns
-        ]  # fmt: skip
+        ]
 
     def all_ordered(self) -> bool:
         return all(self.ordered(x) for x, _ in self.duties)
@@ -310,9 +318,10 @@
     def ordered(self, duty: str = "shed", by: str = "", but: Iterable[str] = ()) -> bool:
         """Whether every gateway that runs goes by an order, of this owner."""
         found = [
-            self.of(x).order(duty, self.local(x)) for x, y in self.places.items()
+            self.of(x).order(duty, self.local(x))
+            for x, y in self.places.items()
             if y.fleet is not None and y.stopped is None and x not in but
-        ]  # fmt: skip
+        ]
         return all(x is not None and (not by or x.owner == by) for x in found)
 
 
@@ -443,9 +452,13 @@
     for seed in range(8):
         draw = random.Random(seed)
         world = World(
-            6, seed, Voters(tuple(f"g{n}" for n in range(draw.choice((3, 5))))), drift=0.024,
-            duties=(("shed", False), ("routes", True)), every=draw.choice((1, 3)),
-        )  # fmt: skip
+            6,
+            seed,
+            Voters(tuple(f"g{n}" for n in range(draw.choice((3, 5))))),
+            drift=0.024,
+            duties=(("shed", False), ("routes", True)),
+            every=draw.choice((1, 3)),
+        )
         world.late, world.doubled = draw.choice(((0.001, 0.01), (0.001, 0.3), (0.01, 1.2))), 0.2
         world.lost = draw.choice((0.0, 0.33))
         for _ in range(35):
@@ -515,8 +528,9 @@
         question = more.get("question", up.question)
         sender = more.get("sender", up.to)
         later = now + more.get("after", 0.0)
-        message = Message(Kind.DOWN, sender, 1, 0, "r", 1, "g3", "", question=question,
-                          body=msgspec.msgpack.encode(down))  # fmt: skip
+        message = Message(
+            Kind.DOWN, sender, 1, 0, "r", 1, "g3", "", question=question, body=msgspec.msgpack.encode(down)
+        )
         return duties.received(later, message)
 
     return world, duties, work, tell
@@ -533,8 +547,10 @@
     for told in ((4, 9, "g1", b"y"), (5, 1, "g1", b"y"), (5, 3, "g2", b"y"), (5, 2, "g1", b"y")):
         assert not tell(*told)
     assert refused == {
-        "older than one obeyed": 2, "another owner's in one term": 1, "another state under one mark": 1,
-    }  # fmt: skip
+        "older than one obeyed": 2,
+        "another owner's in one term": 1,
+        "another state under one mark": 1,
+    }
     (full,) = tell(6, 1, "g2", b"z")
     assert not duties.written(now, full.token, "full") and refused["its mark can't be recorded"] == 1
     assert duties.order("routes", now).state == b"x"  # type: ignore[union-attr]
--- a/tests/test_fleet_levels.py
+++ b/tests/test_fleet_levels.py
@@ -14,7 +14,8 @@
 from otterglade.core.claims import Claim
 from otterglade.core.fleet import members as members_module
 from otterglade.core.fleet import recovery, standing, trust, witness
-from otterglade.core.fleet.fleet import AGAIN, WITHIN, Fleet, Keep, Out, Polled, Send
+from otterglade.core.fleet.actions import Keep, Polled, Send
+from otterglade.core.fleet.fleet import AGAIN, WITHIN, Action, Fleet
 from otterglade.core.fleet.members import MOST_ASKED, MOST_MEMBERS, WORST, Heard, Members, Pace, Peer
 from otterglade.core.fleet.messages import (
     BODY,
@@ -142,18 +143,21 @@
     return Piece(name, "suspect", boot, turn, "x", by)
 
 
-@pytest.mark.parametrize(("fields", "reason"), [
-    ({}, ""),
-    ({"number": 5}, "repeated"),
-    ({"number": 4}, ""),
-    ({"boot": 3}, "old run"),
-    ({"run": "y"}, "old run"),
-    ({"boot": 5, "run": "y", "number": 5}, ""),
-    ({"to_run": "an earlier one"}, "meant for another run"),
-    ({"to": "c"}, "misrouted"),
-    ({"sender": "a"}, "own name"),
-    ({"sender": "z"}, "stranger"),
-])  # fmt: skip
+@pytest.mark.parametrize(
+    ("fields", "reason"),
+    [
+        ({}, ""),
+        ({"number": 5}, "repeated"),
+        ({"number": 4}, ""),
+        ({"boot": 3}, "old run"),
+        ({"run": "y"}, "old run"),
+        ({"boot": 5, "run": "y", "number": 5}, ""),
+        ({"to_run": "an earlier one"}, "meant for another run"),
+        ({"to": "c"}, "misrouted"),
+        ({"sender": "a"}, "own name"),
+        ({"sender": "z"}, "stranger"),
+    ],
+)
 def test_what_is_taken_and_why_not(fields: dict[str, Any], reason: str) -> None:
     members = member("b", "c", floors={"b": 3})
     assert tell(members, 1, boot=2).taken is False, "an earlier run of this gateway knew a later boot"
@@ -240,14 +244,17 @@
     assert b.by == set() and not members._suspects, "denied by itself"
 
 
-@pytest.mark.parametrize(("word", "reason"), [
-    (Piece("b", "alive", 2, 0, "x"), "old run"),
-    (Piece("b", "alive", 3, 0, "x"), ""),
-    (Piece("b", "unknown", 9, 0), "word about nobody"),
-    (Piece("b", "alive", 0, 0), "word about nobody"),
-    (Piece("z", "alive", 9, 0), "word about nobody"),
-    (Piece("b", "odd", 9, 0), "unknown standing"),
-])  # fmt: skip
+@pytest.mark.parametrize(
+    ("word", "reason"),
+    [
+        (Piece("b", "alive", 2, 0, "x"), "old run"),
+        (Piece("b", "alive", 3, 0, "x"), ""),
+        (Piece("b", "unknown", 9, 0), "word about nobody"),
+        (Piece("b", "alive", 0, 0), "word about nobody"),
+        (Piece("z", "alive", 9, 0), "word about nobody"),
+        (Piece("b", "odd", 9, 0), "unknown standing"),
+    ],
+)
 def test_words_that_say_nothing_are_counted_and_pass(word: Piece, reason: str) -> None:
     members = member("b", "c", floors={"b": 3 if word.boot else 0})
     assert tell(members, 1, sender="c", pieces=(word,)).taken
@@ -278,8 +285,11 @@
         members._piece(1.0, doubt("b", "b", 1, 0))
         assert tell(members, n, kind, boot=boot, turn=turn, run="xy"[boot - 1]).taken
     assert [x.why for x in members.drained()] == [
-        "suspect, says b", "refuted", "said that it stops", "started anew",
-    ]  # fmt: skip
+        "suspect, says b",
+        "refuted",
+        "said that it stops",
+        "started anew",
+    ]
     fresh = member("b")
     tell(fresh, 1)
     assert [x.why for x in fresh.drained()] == ["met"]
@@ -300,16 +310,24 @@
     members = member("b", boot=3)
     seen = []
     for word in (
-        doubt("a", "b", 2, 9), Piece("a", "alive", 3, 0), doubt("a", "b", 3, 0), doubt("a", "b", 3, 0),
-        Piece("a", "dead", 3, 4), Piece("a", "suspect", 5, 0),
-    ):  # fmt: skip
+        doubt("a", "b", 2, 9),
+        Piece("a", "alive", 3, 0),
+        doubt("a", "b", 3, 0),
+        doubt("a", "b", 3, 0),
+        Piece("a", "dead", 3, 4),
+        Piece("a", "suspect", 5, 0),
+    ):
         members._news.clear()
         members._piece(1.0, word)
         seen.append((members.turn, members.health, "a" in members._news, members.behind))
     assert seen == [
-        (0, 0, False, 0), (0, 0, False, 0), (1, 1, True, 0), (1, 1, False, 0), (5, 2, True, 0),
+        (0, 0, False, 0),
+        (0, 0, False, 0),
+        (1, 1, True, 0),
+        (1, 1, False, 0),
+        (5, 2, True, 0),
         (5, 2, False, 5),
-    ]  # fmt: skip
+    ]
     members.leave(2.0)
     members._piece(2.0, doubt("a", "b", 3, 5))
     assert members.turn == 5, "who leaves does not deny it"
@@ -667,8 +685,10 @@
     assert keeper.kept["v0", "c", "t"].at == 2.0 and keeper.kept["v2", "c", "t"].at == 1.0
     assert {x[0]: y.name for x, (_, y) in stands.items()} == {"v0": "SEEN", "v2": "BEGUN", "v3": "BEGUN"}
     assert {(x.viewer, x.seen, x.replaces) for x, _ in stands.values()} == {
-        ("v0", True, ()), ("v2", False, ()), ("v3", False, ()),
-    }  # fmt: skip
+        ("v0", True, ()),
+        ("v2", False, ()),
+        ("v3", False, ()),
+    }
     for records in (log, keeper.snapshot()):
         again = Witness(600.0, 3600.0)
         again.restore(records, 50.0)
@@ -769,7 +789,7 @@
 # The fleet's part for one gateway
 
 
-def kinds(out: Iterable[Out]) -> list[str]:
+def kinds(out: Iterable[Action]) -> list[str]:
     return [x.message.kind.value if isinstance(x, Send) else type(x).__name__ for x in out]
 
 
@@ -783,12 +803,12 @@
     return here
 
 
-def poll_of(here: Fleet) -> tuple[Poll, list[Out]]:
+def poll_of(here: Fleet) -> tuple[Poll, list[Action]]:
     poll = Poll(CLAIM, ("a", "b", "c"), last=3.0)
     return poll, here.poll(1.0, poll)
 
 
-def word_of(here: Fleet, sender: str, number: int, word: Word) -> list[Out]:
+def word_of(here: Fleet, sender: str, number: int, word: Word) -> list[Action]:
     body = msgspec.msgpack.encode(word)
     return here.received(1.1, Message(Kind.CLAIMED, sender, 1, 0, "x", number, "a", "r", body=body))
 
@@ -946,16 +966,19 @@
         assert max(x[0] for x in waits if x is not None) == pytest.approx(longest, abs=0.02)
 
 
-@pytest.mark.parametrize(("boot", "behind", "ages", "hosts", "start"), [
-    (1, 1, {}, (0, 0), Start.NEW_DISK),
-    (1, 0, {"a": 900.0}, (0, 0), Start.OWN),
-    (1, 0, {"a": 900.0, "b": 5.0}, (0, 0), Start.PART),
-    (2, 0, {"a": 30.9, "b": 5.0}, (4, 2), Start.WHOLE),
-    (2, 0, {"a": 30.9, "b": 5.0}, (4, 3), Start.BLACKOUT),
-    (2, 0, {"a": 31.1}, (4, 4), Start.OWN),
-    (2, 0, {"a": 1.0}, (0, 0), Start.BLACKOUT),
-    (2, 0, {}, (0, 0), Start.OWN),
-])  # fmt: skip
+@pytest.mark.parametrize(
+    ("boot", "behind", "ages", "hosts", "start"),
+    [
+        (1, 1, {}, (0, 0), Start.NEW_DISK),
+        (1, 0, {"a": 900.0}, (0, 0), Start.OWN),
+        (1, 0, {"a": 900.0, "b": 5.0}, (0, 0), Start.PART),
+        (2, 0, {"a": 30.9, "b": 5.0}, (4, 2), Start.WHOLE),
+        (2, 0, {"a": 30.9, "b": 5.0}, (4, 3), Start.BLACKOUT),
+        (2, 0, {"a": 31.1}, (4, 4), Start.OWN),
+        (2, 0, {"a": 1.0}, (0, 0), Start.BLACKOUT),
+        (2, 0, {}, (0, 0), Start.OWN),
+    ],
+)
 def test_what_happened_at_its_edges(
     boot: int, behind: int, ages: dict[str, float], hosts: tuple[int, int], start: Start
 ) -> None:
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -12,7 +12,7 @@
 import pytest
 
 from otterglade.core.fleet import parts as module
-from otterglade.core.fleet.fleet import Send
+from otterglade.core.fleet.actions import Send
 from otterglade.core.fleet.messages import MOST, Kind, Message, Seal
 from otterglade.core.fleet.parts import NEXT, PART, UNREACHABLE, Event, Parts, Stage
 from otterglade.core.fleet.routing import Placed, Routing
