core/fleet: register and conflicts split by job into acceptor, proposer, patterns, views

register.py (904 lines) held the voter, the candidate and owner, and the records; conflicts.py (708) the kinds, the bit masks, the views and the search. Each has a module now, 72 to 389 lines; lines moved, none changed in meaning (compared as sets; the rest is the formatter's). 138 tests of register, conflicts, routes and the explorer of duties passed.

--- a/benchmarks/mixes.py
+++ b/benchmarks/mixes.py
@@ -11,7 +11,8 @@
 import msgspec
 
 from otterglade.core.fleet import routing as parts
-from otterglade.core.fleet.conflicts import Conflict, conflicts
+from otterglade.core.fleet.conflict_kinds import Conflict
+from otterglade.core.fleet.conflicts import conflicts
 from otterglade.core.fleet.planner import plan
 from otterglade.referee.routes import judge
 
--- a/otterglade/cli/check.py
+++ b/otterglade/cli/check.py
@@ -14,7 +14,7 @@
 
 if TYPE_CHECKING:
     from ..config.schema import Config
-    from ..core.fleet.conflicts import Conflict
+    from ..core.fleet.conflict_kinds import Conflict
     from ..core.fleet.routing import Routing
 
 
--- a/otterglade/core/fleet/duty.py
+++ b/otterglade/core/fleet/duty.py
@@ -24,13 +24,13 @@
 
 import msgspec
 
+from .acceptor import Acceptor, Voter
 from .actions import Send, Write
 from .members import Members
 from .messages import Kind, Message
-from .register import MOST_COUNTER as MOST_COUNTER
-from .register import Acceptor, Ask, Asked, Mark, Proposer, Record, Says, Stage, Vote, Voted, Voter
-from .register import Pace as Pace
-from .register import Voters as Voters
+from .proposer import Asked, Proposer
+from .proposer_stages import Stage
+from .register import MOST_COUNTER, Ask, Mark, Pace, Record, Says, Vote, Voted, Voters
 from .standing import Standing
 from .work import MOST_STATE, MOST_SUM, Order, Work
 
--- a/otterglade/core/fleet/planner.py
+++ b/otterglade/core/fleet/planner.py
@@ -17,8 +17,10 @@
 
 import msgspec
 
-from .conflicts import Conflict, Judge, Key, View, each_once
+from .conflict_kinds import Conflict, Key, each_once
+from .conflicts import Judge
 from .routing import Routing
+from .routing_view import View
 
 MOST_CHANGED = 12
 """Regions that change for which all orders are weighed: their sets are 4,096, pairs of these 531,441."""
@@ -88,9 +90,11 @@
     """Regions that change are numbered; a set of those that have is a mask."""
 
     def __init__(
-        self, standing: Mapping[str, Routing], proposed: Mapping[str, Routing],
+        self,
+        standing: Mapping[str, Routing],
+        proposed: Mapping[str, Routing],
         may: Mapping[str, Sequence[Routing]],
-    ) -> None:  # fmt: skip
+    ) -> None:
         self.judge = judge = Judge()
         self.names = sorted(
             x for x, y in proposed.items() if x not in standing or standing[x].digest != y.digest
@@ -187,11 +191,18 @@
                 settled=settled,
             )
         return Plan(
-            order=None, together=tuple(self._members(at_once)), steps=regions,
-            conflicts=self._told(chain.from_iterable(
-                y for (n, k), y in self.why.items() if at_once >> n & 1 and at_once >> k & 1
-            )), standing=tuple(self.before), remaining=self.remaining, settled=settled,
-        )  # fmt: skip
+            order=None,
+            together=tuple(self._members(at_once)),
+            steps=regions,
+            conflicts=self._told(
+                chain.from_iterable(
+                    y for (n, k), y in self.why.items() if at_once >> n & 1 and at_once >> k & 1
+                )
+            ),
+            standing=tuple(self.before),
+            remaining=self.remaining,
+            settled=settled,
+        )
 
     def _told(self, more: Iterable[Conflict]) -> tuple[Conflict, ...]:
         return tuple(each_once([*self.met.values(), *more]))
--- a/otterglade/core/fleet/routes.py
+++ b/otterglade/core/fleet/routes.py
@@ -16,7 +16,8 @@
 from dataclasses import dataclass, field
 
 from .actions import Drop, Send, Store
-from .conflicts import Conflict, Kind, conflicts
+from .conflict_kinds import Conflict, Kind
+from .conflicts import conflicts
 from .editions import (
     FORCED,
     MIXED,
@@ -40,7 +41,7 @@
 from .members import Members
 from .messages import Message
 from .parts import Got, Missed, Parts
-from .router import Router as Router
+from .router import Router
 from .routing import Region, Routing, RoutingError, decode
 from .work import Order
 
--- a/otterglade/explore/duties.py
+++ b/otterglade/explore/duties.py
@@ -26,9 +26,10 @@
 import msgspec
 
 from ..core.fleet.actions import Send, Write
-from ..core.fleet.duty import Duties, Pace, Voters
+from ..core.fleet.duty import Duties
 from ..core.fleet.members import Members
 from ..core.fleet.messages import Kind, Message
+from ..core.fleet.register import Pace, Voters
 from ..core.fleet.work import MOST_STATE, Order
 from .world import BrokenError
 
--- a/otterglade/explore/tables.py
+++ b/otterglade/explore/tables.py
@@ -7,7 +7,7 @@
 from enum import Enum
 from typing import Any
 
-from ..core.fleet import editions, parts, recovery, register, standing, trust, witness
+from ..core.fleet import acceptor, editions, parts, proposer_stages, recovery, standing, trust, witness
 
 
 def _cell(found: Any) -> str:
@@ -53,15 +53,15 @@
         *_grid(witness.Stands, witness.Event, witness.NEXT),
         *_reasons(witness.UNREACHABLE),
         "",
-        "## A voter of a duty (`core/fleet/register.py`)",
+        "## A voter of a duty (`core/fleet/acceptor.py`)",
         "",
-        *_grid(register.Voter, register.Event, register.NEXT),
-        *_reasons(register.UNREACHABLE),
+        *_grid(acceptor.Voter, acceptor.Event, acceptor.NEXT),
+        *_reasons(acceptor.UNREACHABLE),
         "",
-        "## A candidate and owner of a duty (`core/fleet/register.py`)",
+        "## A candidate and owner of a duty (`core/fleet/proposer_stages.py`)",
         "",
-        *_grid(register.Stage, register.Step, register.STAGES),
-        *_reasons(register.STAGES_UNREACHABLE),
+        *_grid(proposer_stages.Stage, proposer_stages.Step, proposer_stages.STAGES),
+        *_reasons(proposer_stages.STAGES_UNREACHABLE),
         "",
         "## An edition of a region's routing part (`core/fleet/editions.py`)",
         "",
--- a/otterglade/gateway/peers.py
+++ b/otterglade/gateway/peers.py
@@ -22,12 +22,13 @@
 from ..core.attempts import Entry
 from ..core.desk import Desk
 from ..core.fleet.actions import Drop, Keep, Polled, Send, Store, Write
-from ..core.fleet.duty import Duties, DutyError, Voters
+from ..core.fleet.duty import Duties, DutyError
 from ..core.fleet.fleet import Action, Fleet
 from ..core.fleet.members import Members
 from ..core.fleet.messages import MOST, Message, Seal, SealError
+from ..core.fleet.proposer_stages import Stage
 from ..core.fleet.recovery import Event, Phase, Returns, Start, what_happened
-from ..core.fleet.register import Stage
+from ..core.fleet.register import Voters
 from ..core.fleet.router import Router
 from ..core.fleet.routes import Check, Routes
 from ..core.fleet.routing import Routing
--- a/tests/planted_duties.py
+++ b/tests/planted_duties.py
@@ -17,7 +17,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from otterglade.core.fleet import duty, register
+from otterglade.core.fleet import acceptor, duty, proposer, register
 from otterglade.explore import duty_search
 from otterglade.explore.duties import RARE, Scope
 
@@ -68,7 +68,7 @@
         patch(self.where, self.function, room[self.function])
 
 
-A, P, D, V = register.Acceptor, register.Proposer, duty.Duties, register.Voters
+A, P, D, V = acceptor.Acceptor, proposer.Proposer, duty.Duties, register.Voters
 FAULTS = (
     Fault("a promise is told before it is on disk", A, "ask", "return None, self.writing",
           "return (self.written(now), None) if vote.ask is Ask.PREPARE else (None, self.writing)", "fast=2 settled=0 late kills"),
--- a/tests/planted_gateway.py
+++ b/tests/planted_gateway.py
@@ -23,7 +23,7 @@
 from otterglade.core import budget as window
 from otterglade.core import interface as api
 from otterglade.core.fleet.editions import Book
-from otterglade.core.fleet.register import Proposer
+from otterglade.core.fleet.proposer import Proposer
 from otterglade.core.fleet.routes import Routes
 from otterglade.core.messages import Reply, SetUp
 from otterglade.core.policy import Controller
--- a/tests/test_conflicts.py
+++ b/tests/test_conflicts.py
@@ -16,7 +16,8 @@
 from benchmarks.mixes import TERMS, difference, plans_differ, small_set
 from otterglade.cli.main import main
 from otterglade.config.script import ConfigError, parse
-from otterglade.core.fleet.conflicts import Masks, conflicts, representatives
+from otterglade.core.fleet.conflicts import conflicts
+from otterglade.core.fleet.patterns import Masks, representatives
 from otterglade.core.fleet.planner import MOST_CHANGED, plan
 from otterglade.core.fleet.routing import Accept, Lane, Placed, Region, Route, Routing, decode, matches
 from otterglade.lab.stage import Layout
--- a/tests/test_duty.py
+++ b/tests/test_duty.py
@@ -13,12 +13,14 @@
 import msgspec
 import pytest
 
+from otterglade.core.fleet.acceptor import Voter
 from otterglade.core.fleet.actions import Send, Write
-from otterglade.core.fleet.duty import Down, Duties, Fence, Part, Told, Up, Voters, _packed
+from otterglade.core.fleet.duty import Down, Duties, Fence, Part, Told, Up, _packed
 from otterglade.core.fleet.fleet import Fleet
 from otterglade.core.fleet.members import Members
 from otterglade.core.fleet.messages import MOST, Kind, Message, Seal
-from otterglade.core.fleet.register import Ask, Held, Record, Says, Stage, Vote, Voted, Voter
+from otterglade.core.fleet.proposer_stages import Stage
+from otterglade.core.fleet.register import Ask, Held, Record, Says, Vote, Voted, Voters
 from otterglade.core.fleet.witness import Witness
 from otterglade.core.fleet.work import MOST_STATE, MOST_SUM, Order
 
--- a/tests/test_register.py
+++ b/tests/test_register.py
@@ -9,29 +9,11 @@
 import msgspec
 import pytest
 
-from otterglade.core.fleet import register as module
-from otterglade.core.fleet.register import (
-    NEXT,
-    STAGES,
-    STAGES_UNREACHABLE,
-    UNREACHABLE,
-    Acceptor,
-    Ask,
-    Asked,
-    Ballot,
-    Event,
-    Held,
-    Pace,
-    Proposer,
-    Record,
-    Says,
-    Stage,
-    Step,
-    Vote,
-    Voted,
-    Voter,
-    Voters,
-)
+from otterglade.core.fleet import acceptor, proposer
+from otterglade.core.fleet.acceptor import NEXT, UNREACHABLE, Acceptor, Event, Voter
+from otterglade.core.fleet.proposer import FORCED_TERMS, Asked, Proposer
+from otterglade.core.fleet.proposer_stages import STAGES, STAGES_UNREACHABLE, Stage, Step
+from otterglade.core.fleet.register import Ask, Ballot, Held, Pace, Record, Says, Vote, Voted, Voters
 
 PACE = Pace()
 L = PACE.lease
@@ -46,8 +28,15 @@
     return Vote("shed", ask, ballot, number, value)
 
 
-def asked(voter: Acceptor, now: float, ask: Ask, ballot: Ballot, value: Held | None = None, number: int = 1,
-          trouble: str = "") -> Voted | None:  # fmt: skip
+def asked(
+    voter: Acceptor,
+    now: float,
+    ask: Ask,
+    ballot: Ballot,
+    value: Held | None = None,
+    number: int = 1,
+    trouble: str = "",
+) -> Voted | None:
     """A question by the maker of the ballot, and its record written at once."""
     word, record = voter.ask(now, ballot[1], ballot[2], vote(ask, ballot, value, number))
     return word if record is None else voter.written(now, trouble)
@@ -80,7 +69,7 @@
 def test_every_pair_of_a_voter_is_reached_or_has_its_reason(monkeypatch: pytest.MonkeyPatch) -> None:
     assert {*NEXT} | {*UNREACHABLE} == {*itertools.product(Voter, Event)} and not {*NEXT} & {*UNREACHABLE}
     table = Reached(NEXT)
-    monkeypatch.setattr(module, "NEXT", table)
+    monkeypatch.setattr(acceptor, "NEXT", table)
     for seed in range(200):
         draw, now = random.Random(seed), 0.0
         voter = Acceptor("shed", now, PACE)
@@ -127,7 +116,7 @@
     assert {*STAGES} | {*STAGES_UNREACHABLE} == {*itertools.product(Stage, Step)}
     assert not {*STAGES} & {*STAGES_UNREACHABLE}
     table = Reached(STAGES)
-    monkeypatch.setattr(module, "STAGES", table)
+    monkeypatch.setattr(proposer, "STAGES", table)
     for seed in range(800):
         draw, now, out = random.Random(seed), 0.0, []
         one = Proposer("shed", "a", "a1", Voters(("v", "w", "x")), PACE)
@@ -337,7 +326,7 @@
     one = owner(0.0, Voters(("v", "w"), 2, ("v", "x", "y"), "fire in hall 2"), **stands)
     assert one.voters.all == ("v", "w") and one.held is not None
     assert one.held.forced == "fire in hall 2" and one.held.voters_number == 2 and one.held.state == b"s"
-    assert one.held.term == 5 + module.FORCED_TERMS
+    assert one.held.term == 5 + FORCED_TERMS
     with pytest.raises(ValueError, match="voters: found"):
         Voters(())
 
