core/distribution: one writer, revisions, deltas, relays, subscribers, what is in force

A change of configuration reaches gateways by a file and SIGHUP on each, and nobody learns when it is in force; the host list goes out whole at each change.

--- /dev/null
+++ b/otterglade/core/distribution/placement.py
@@ -0,0 +1,56 @@
+"""Which control machine a subscriber reads from: the nearest, spread evenly by rendezvous hashing.
+
+Each subscriber ranks all machines by itself, without a table: a machine that goes moves only its own
+subscribers, each to the next of its ranking.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import IntEnum
+
+_WEIGHT_BYTES = 8
+
+
+@dataclass(frozen=True, slots=True)
+class ControlMachine:
+    """A machine that serves revisions."""
+
+    name: str
+    address: str
+    """HOST:PORT."""
+    region: str
+    zone: str
+    voter: bool
+    """Whether it votes on the configuration too."""
+
+
+class _Distance(IntEnum):
+    SAME_ZONE = 0
+    SAME_REGION = 1
+    ELSEWHERE = 2
+
+
+def ranked(
+    subscriber: str, region: str, zone: str, machines: Sequence[ControlMachine]
+) -> list[ControlMachine]:
+    """All machines, best first: those of the zone, then of the region, then the others, each group by highest
+    random weight."""
+
+    def order(machine: ControlMachine) -> tuple[_Distance, int, str]:
+        return _distance(region, zone, machine), -_weight(subscriber, machine.name), machine.name
+
+    return sorted(machines, key=order)
+
+
+def _distance(region: str, zone: str, machine: ControlMachine) -> _Distance:
+    if machine.region != region:
+        return _Distance.ELSEWHERE
+    return _Distance.SAME_ZONE if machine.zone == zone else _Distance.SAME_REGION
+
+
+def _weight(subscriber: str, machine: str) -> int:
+    pair = f"{len(subscriber)}:{subscriber}{machine}".encode()
+    return int.from_bytes(hashlib.blake2b(pair, digest_size=_WEIGHT_BYTES).digest(), "big")
--- /dev/null
+++ b/otterglade/core/distribution/subscriber.py
@@ -0,0 +1,492 @@
+"""One reader of revisions: a gateway, a relay, or a voter that is not the writer.
+
+It has one exchange out at a time: a blocking read, or a part of a transfer. It applies a revision whole or
+not at all, never an older one than it acts upon, and only after the digest of the result was found right.
+Whatever goes wrong, it acts upon what it holds, waits (backoff with full jitter) and asks another control
+machine. Its states and what moves it between them stand in NEXT.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from enum import Enum
+
+from .items import DigestError, ItemStore, store_of
+from .log import GapError
+from .messages import (
+    INLINE_BYTES,
+    PART_BYTES,
+    REASON_BYTES,
+    MessageError,
+    PartAnswer,
+    PartRequest,
+    ReadAnswer,
+    ReadRequest,
+    Rejection,
+    Report,
+)
+from .pacing import Backoff, TokenBucket
+from .placement import ControlMachine, ranked
+from .revision import GENESIS, Change, Delta, RevisionError, RevisionId, Snapshot
+from .transfer import Download, decode_delta, decode_snapshot
+
+OVERHEAD_BYTES = 1024
+"""Of an exchange beside the delta or part: heads of HTTP, envelope, the request."""
+PART_TRIES = 3
+"""Failures in a row after which a transfer is looked for at another control machine."""
+
+Content = Delta | Snapshot
+
+
+@dataclass(frozen=True, slots=True)
+class SubscriberTiming:
+    """How often a subscriber reads, and how long it waits; seconds, unless said otherwise."""
+
+    spacing: float = 2.0
+    """Between a revision that was applied and the next read, so that changes coalesce."""
+    wait: float = 10.0
+    """For which a read may be held by the server."""
+    grace: float = 3.0
+    """After `wait`, and for a part: then the exchange has failed."""
+    backoff_first: float = 0.5
+    """Longest wait after a first failure; doubles with each further one."""
+    backoff_most: float = 8.0
+    """Longest wait after any failure."""
+    return_after: float = 30.0
+    """Until the first control machine by rank is tried again."""
+    rate: float = 10_000.0
+    """Bytes a second received in the long run."""
+    burst: float = 32.0 * 1024
+    """Bytes received at once after a silence."""
+
+
+RELAY_TIMING = SubscriberTiming(spacing=0.1, wait=2.0, rate=4_000_000.0, burst=1024.0 * 1024)
+"""Of relays and voters: they pass on, and report what those below them act upon, at short intervals."""
+
+
+@dataclass(frozen=True, slots=True)
+class Read:
+    """Send a ReadRequest."""
+
+    read_id: int
+    machine: ControlMachine
+    request: ReadRequest
+    timeout: float
+
+
+@dataclass(frozen=True, slots=True)
+class FetchPart:
+    """Send a PartRequest."""
+
+    read_id: int
+    machine: ControlMachine
+    request: PartRequest
+    timeout: float
+
+
+@dataclass(frozen=True, slots=True)
+class Apply:
+    """Act upon this revision from now on; it is acknowledged by the next read."""
+
+    revision: RevisionId
+    changes: tuple[Change, ...]
+    whole: bool
+    """Whether `changes` are all items; otherwise they go on top of the revision before."""
+
+
+@dataclass(frozen=True, slots=True)
+class Persist:
+    """Write this down, for `held` at the next start."""
+
+    content: Content
+
+
+Action = Read | FetchPart | Apply | Persist
+Accepts = Callable[[Content, ItemStore], str]
+"""Checks a revision as a whole, given the mapping before it; a text is the reason against it."""
+
+
+def accept_all(content: Content, store: ItemStore) -> str:
+    """No reason against any revision."""
+    return ""
+
+
+class State(Enum):
+    """What a subscriber is at."""
+
+    WAITING = "no exchange is out; the next is a read"
+    READING = "a read is out"
+    PAUSED = "a transfer is under way, no part is out"
+    FETCHING = "a part is out"
+
+
+class Event(Enum):
+    """What moves it on."""
+
+    READ = "a read goes out"
+    ANSWERED = "an answer without a transfer came"
+    OFFERED = "an answer with a transfer came"
+    PART_ASKED = "a part is asked for"
+    PART_CAME = "a part came, others are missing"
+    PART_MISSED = "a part did not come, and is tried again"
+    TRANSFERRED = "the last part came"
+    FAILED = "the exchange failed, or what it brought can't be used"
+    MOVED = "other control machines are to be read from"
+
+
+NEXT: dict[tuple[State, Event], State] = {
+    (State.WAITING, Event.READ): State.READING,
+    (State.WAITING, Event.MOVED): State.WAITING,
+    (State.READING, Event.ANSWERED): State.WAITING,
+    (State.READING, Event.OFFERED): State.PAUSED,
+    (State.READING, Event.FAILED): State.WAITING,
+    (State.READING, Event.MOVED): State.WAITING,
+    (State.PAUSED, Event.PART_ASKED): State.FETCHING,
+    (State.PAUSED, Event.MOVED): State.WAITING,
+    (State.FETCHING, Event.PART_CAME): State.PAUSED,
+    (State.FETCHING, Event.PART_MISSED): State.PAUSED,
+    (State.FETCHING, Event.TRANSFERRED): State.WAITING,
+    (State.FETCHING, Event.FAILED): State.WAITING,
+    (State.FETCHING, Event.MOVED): State.WAITING,
+}
+"""Every other pair can't happen."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Exchange:
+    read_id: int
+    sent_at: float
+    deadline: float
+
+
+class Subscriber:
+    """Belongs to one thread, which carries out the actions in order and brings back what came of them."""
+
+    def __init__(
+        self,
+        name: str,
+        run: str,
+        machines: Sequence[ControlMachine],
+        region: str,
+        zone: str,
+        now: float,
+        seed: int,
+        timing: SubscriberTiming | None = None,
+        held: Snapshot | None = None,
+        accepts: Accepts = accept_all,
+    ) -> None:
+        """`held`: what an earlier run wrote down. Raises DigestError and RevisionError where it is broken."""
+        self.name, self.run = name, run
+        self._region, self._zone = region, zone
+        self._timing = timing or SubscriberTiming()
+        self._accepts = accepts
+        self._random = random.Random(seed)
+        self._bucket = TokenBucket(self._timing.rate, self._timing.burst, now)
+        self._backoff = self._new_backoff()
+        self._part_backoff = self._new_backoff()
+        self.in_force = GENESIS if held is None else held.revision
+        """What is acted upon."""
+        self.store = ItemStore() if held is None else store_of(held.items, held.root)
+        """The mapping at `in_force`; to be read only."""
+        self.stale_refused = 0
+        """Revisions offered that were not later than the one in force."""
+        self.misfits = 0
+        """Revisions that led to another digest than announced, or did not begin at the one in force."""
+        self.rejection: Rejection | None = None
+        """The latest revision that `accepts` was against."""
+        self.report: Report | None = None
+        """Set by a relay before `tick`: what those below it act upon."""
+        self.last_failure = ""
+        """For operators."""
+        self._ranked: list[ControlMachine] = ranked(name, region, zone, machines)
+        self._rank = 0
+        self._return_at = math.inf
+        self._answers = False
+        """Whether this control machine has answered; until then it is not given long to do so."""
+        self._state = State.WAITING
+        self._exchange: _Exchange | None = None
+        self._exchanges = 0
+        self._asked_from = self.in_force
+        """`in_force` when the latest read went out."""
+        self._next_at = now + self._random.uniform(0.0, self._timing.spacing)
+        self._download: Download | None = None
+        self._whole = False
+        """A snapshot is asked for."""
+
+    def _new_backoff(self) -> Backoff:
+        return Backoff(self._timing.backoff_first, self._timing.backoff_most, self._random)
+
+    @property
+    def relay(self) -> str:
+        """Name of the control machine that is read from; empty: there is none."""
+        return self._ranked[self._rank].name if self._ranked else ""
+
+    @property
+    def state(self) -> State:
+        """For operators and tests."""
+        return self._state
+
+    def set_machines(self, now: float, machines: Sequence[ControlMachine]) -> None:
+        """Read from these from now on; with none of them, from nobody. An exchange that is out is over."""
+        self._ranked = ranked(self.name, self._region, self._zone, machines)
+        self._rank, self._return_at, self._answers = 0, math.inf, False
+        self._exchange, self._download = None, None
+        self._step(Event.MOVED)
+        self._next_at = now
+
+    def took(self, content: Content) -> None:
+        """A revision came another way, e.g. a voter's own content that was accepted. Raises GapError where it
+        does not lead on from the revision in force, DigestError and RevisionError where it is broken."""
+        target = _target(content)
+        if target <= self.in_force:
+            raise GapError(f"revision {target}; in force: {self.in_force}")
+        self._install(content, self._check(content))
+
+    # Time
+
+    def due(self) -> float:
+        """When `tick` has something to do."""
+        if self._exchange is not None:
+            return self._exchange.deadline
+        return self._next_at if self._ranked else math.inf
+
+    def tick(self, now: float) -> list[Action]:
+        """What is to be done now."""
+        if self._exchange is not None:
+            if now >= self._exchange.deadline:
+                self._fail(now, "no answer in time")
+            return []
+        if not self._ranked or now < self._next_at:
+            return []
+        if self._state is State.PAUSED:
+            return self._ask_part(now)
+        return self._ask_read(now)
+
+    def _may_receive(self, now: float, size: int) -> bool:
+        """Whether so many bytes may come; otherwise the next exchange waits until they may."""
+        wait = self._bucket.wait(now, size + OVERHEAD_BYTES)
+        if wait > 0:
+            self._next_at = now + wait
+        return wait <= 0
+
+    def _ask_read(self, now: float) -> list[Action]:
+        if not self._may_receive(now, INLINE_BYTES):
+            return []
+        if now >= self._return_at:
+            self._rank, self._return_at, self._answers = 0, math.inf, False
+        self._step(Event.READ)
+        self._asked_from = self.in_force
+        request = ReadRequest(
+            self.name,
+            self.run,
+            self.in_force,
+            self.store.root,
+            self._timing.wait if self._answers else 0.0,
+            self.rejection,
+            self.report,
+            self._whole,
+        )
+        timeout = request.wait + self._timing.grace
+        return [Read(self._sent(now, timeout), self._ranked[self._rank], request, timeout)]
+
+    def _ask_part(self, now: float) -> list[Action]:
+        assert self._download is not None, "a transfer is under way"
+        if not self._may_receive(now, PART_BYTES):
+            return []
+        self._step(Event.PART_ASKED)
+        request = PartRequest(self.name, self._download.transfer.digest, self._download.next_offset)
+        timeout = self._timing.grace
+        return [FetchPart(self._sent(now, timeout), self._ranked[self._rank], request, timeout)]
+
+    def _sent(self, now: float, timeout: float) -> int:
+        self._exchanges += 1
+        self._exchange = _Exchange(self._exchanges, now, now + timeout)
+        return self._exchanges
+
+    def _step(self, event: Event) -> None:
+        self._state = NEXT[self._state, event]
+
+    # What comes
+
+    def answered(self, now: float, read_id: int, answer: ReadAnswer | PartAnswer, size: int) -> list[Action]:
+        """An exchange has brought this, in so many bytes. One that is over already is passed over."""
+        self._bucket.spend(now, size)
+        exchange = self._exchange
+        if exchange is None or exchange.read_id != read_id:
+            return []
+        match self._state, answer:
+            case State.READING, ReadAnswer():
+                return self._take_answer(now, exchange, answer)
+            case State.FETCHING, PartAnswer():
+                return self._take_part(now, answer)
+        self._fail(now, f"a {type(answer).__name__} that was not asked for")
+        return []
+
+    def failed(self, now: float, read_id: int, reason: str) -> list[Action]:
+        """An exchange timed out, was refused, or brought something unreadable."""
+        if self._exchange is not None and self._exchange.read_id == read_id:
+            self._fail(now, reason)
+        return []
+
+    def _fail(self, now: float, reason: str) -> None:
+        """Try again later: a part at the same control machine at first, anything else at the next one."""
+        if self._state is not State.FETCHING or self._part_backoff.failures + 1 >= PART_TRIES:
+            self._give_up(now, reason)
+            return
+        self._exchange = None
+        self.last_failure = reason
+        self._step(Event.PART_MISSED)
+        self._next_at = now + self._part_backoff.failed()
+
+    def _give_up(self, now: float, reason: str) -> None:
+        """Read from the next control machine, later."""
+        self._exchange = None
+        self.last_failure = reason
+        self._step(Event.FAILED)
+        self._part_backoff.succeeded()
+        self._answers = False
+        self._next_at = now + self._backoff.failed()
+        self._rank = (self._rank + 1) % len(self._ranked)
+        self._return_at = now + self._timing.return_after if self._rank else math.inf
+
+    def _misfit(self, now: float, reason: str) -> None:
+        """What came can't be used: all that is held stays, and another machine is asked for a snapshot."""
+        self.misfits += 1
+        self._whole, self._download = True, None
+        self._give_up(now, reason)
+
+    def _take_answer(self, now: float, exchange: _Exchange, answer: ReadAnswer) -> list[Action]:
+        self._answers = True
+        offered = answer.delta or answer.transfer
+        if offered is None or self.in_force != self._asked_from:
+            self._rest(Event.ANSWERED, max(now, exchange.sent_at + self._timing.spacing))
+            return []
+        if answer.delta is not None and answer.transfer is not None:
+            self._fail(now, f"answer of {answer.revision} with both a delta and a transfer")
+        elif not self._is_later(offered.target):
+            self._fail(now, f"offered {offered.target}; in force: {self.in_force}")
+        elif answer.delta is not None:
+            return self._take(now, answer.delta)
+        elif answer.transfer is not None:
+            self._begin_transfer(now, answer)
+        return []
+
+    def _is_later(self, target: RevisionId) -> bool:
+        """Than what is in force, and than what was found to be unusable."""
+        if target <= self.in_force:
+            self.stale_refused += 1
+            return False
+        return self.rejection is None or target > self.rejection.revision
+
+    def _rest(self, event: Event, until: float) -> None:
+        """All has gone well; the next read is at that time."""
+        self._step(event)
+        self._exchange = None
+        self._backoff.succeeded()
+        self._next_at = until
+
+    def _begin_transfer(self, now: float, answer: ReadAnswer) -> None:
+        assert answer.transfer is not None, "checked by the caller"
+        try:
+            download = Download(answer.transfer)
+        except MessageError as error:
+            self._fail(now, str(error))
+            return
+        if self._download is None or self._download.transfer != answer.transfer:
+            self._download = download
+        self._step(Event.OFFERED)
+        self._exchange = None
+        self._next_at = now
+
+    def _take_part(self, now: float, part: PartAnswer) -> list[Action]:
+        assert self._download is not None, "a transfer is under way"
+        if not part.data:
+            self._download = None
+            self._give_up(now, "the transfer is no longer held")
+            return []
+        try:
+            self._download.take(part)
+        except MessageError as error:
+            self._fail(now, str(error))
+            return []
+        self._part_backoff.succeeded()
+        if not self._download.done:
+            self._step(Event.PART_CAME)
+            self._exchange = None
+            self._next_at = now
+            return []
+        return self._end_transfer(now, self._download)
+
+    def _end_transfer(self, now: float, download: Download) -> list[Action]:
+        self._download = None
+        if self.in_force != self._asked_from:
+            self._rest(Event.TRANSFERRED, now + self._timing.spacing)
+            return []
+        try:
+            data = download.data()
+            content: Content = decode_snapshot(data) if download.transfer.whole else decode_delta(data)
+        except (DigestError, MessageError) as error:
+            self._misfit(now, str(error))
+            return []
+        target = _target(content)
+        if target != download.transfer.target:
+            self._misfit(now, f"transfer of {target}; announced: {download.transfer.target}")
+            return []
+        if self._is_later(target):
+            return self._take(now, content)
+        self._give_up(now, f"transferred {target}; in force: {self.in_force}")
+        return []
+
+    # What is applied
+
+    def _take(self, now: float, content: Content) -> list[Action]:
+        """Apply a later revision, whole or not at all."""
+        try:
+            store = self._check(content)
+        except (DigestError, GapError, RevisionError) as error:
+            self._misfit(now, str(error))
+            return []
+        event = Event.ANSWERED if self._state is State.READING else Event.TRANSFERRED
+        self._rest(event, now + self._timing.spacing)
+        self._whole = False
+        reason = self._accepts(content, self.store)
+        if reason:
+            self._reject(content, reason)
+            return []
+        self._install(content, store)
+        if isinstance(content, Delta):
+            return [Apply(self.in_force, content.changes, whole=False), Persist(content)]
+        return [Apply(self.in_force, content.items, whole=True), Persist(content)]
+
+    def _check(self, content: Content) -> ItemStore:
+        """The mapping that content becomes, or goes onto. Raises GapError, DigestError or RevisionError for
+        content that can't be applied as it is."""
+        if isinstance(content, Snapshot):
+            return store_of(content.items, content.root)
+        if content.base != self.in_force or content.base_root != self.store.root:
+            raise GapError(
+                f"delta from {content.base} ({content.base_root.hex()}); in force: {self.in_force}"
+            )
+        root = self.store.root_after(content.changes)
+        if root != content.root:
+            raise DigestError(f"{content.target} with digest {root.hex()}; announced: {content.root.hex()}")
+        return self.store
+
+    def _install(self, content: Content, store: ItemStore) -> None:
+        if isinstance(content, Delta):
+            store.apply(content.changes)
+        self.store = store
+        self.in_force = _target(content)
+        if self.rejection is not None and self.rejection.revision <= self.in_force:
+            self.rejection = None
+
+    def _reject(self, content: Content, reason: str) -> None:
+        cut = reason.encode()[:REASON_BYTES].decode(errors="ignore")
+        self.rejection = Rejection(_target(content), cut)
+
+
+def _target(content: Content) -> RevisionId:
+    return content.target if isinstance(content, Delta) else content.revision
--- a/otterglade/gateway/peers.py
+++ b/otterglade/gateway/peers.py
@@ -42,8 +42,10 @@
 from ..store.disk import Disk
 from ..store.log import DamagedError, Log
 from . import identity
-from .duties import Noted, NotedRoutes, PartStore, note_vote
+from .duties import Noted, NotedRoutes, PartStore
+from .duty_log import NO_LOG, DutyLog
 from .loop import Loop
+from .rate_limit import SenderRateLimit
 
 RATE = 200.0
 """Datagrams a second from one address, with as many at once: twenty times what a member sends."""
@@ -57,24 +59,6 @@
 """Seconds to the next alarm at least."""
 
 
-class Bucket:
-    """What senders may send; bounded, as addresses can be made up."""
-
-    MOST = 4096
-
-    def __init__(self, rate: float) -> None:
-        self._rate = rate
-        self._left: dict[tuple[str, int], tuple[float, float]] = {}
-
-    def take(self, sender: tuple[str, int], now: float) -> bool:
-        if sender not in self._left and len(self._left) >= self.MOST:
-            self._left.clear()
-        left, at = self._left.get(sender, (self._rate, now))
-        left = min(self._rate, left + (now - at) * self._rate)
-        self._left[sender] = (left - 1.0 if left >= 1.0 else left, now)
-        return left >= 1.0
-
-
 class PeerClient:
     """A gateway's part in the fleet. `open` before the loop runs, `start` after."""
 
@@ -124,7 +108,7 @@
         self._saving = threading.Lock()
         self._witness = Witness(unsure_for, TOKEN_LIFE)
         self._log: Log | None = None
-        self._duty_log: Log | None = None
+        self._duty_log: DutyLog | None = None
         self._handing = False
         self._handed = threading.Event()
         """Told to hand over, this gateway owns nothing any more."""
@@ -200,7 +184,7 @@
             except DutyError as error:
                 duties.abstains = f"the log of duties can't be used: {error}"
                 self._logger.error("duties_unusable", cause=str(error))
-            if self._duty_log is None:
+            if self._duty_log is None or not self._duty_log.usable:
                 duties.abstains = "its log of duties can't be used"
         if routes is not None and self._routing is not None:
             routes.propose(now, self._routing, start=True)
@@ -221,13 +205,8 @@
         """What the log of duties holds; without one this gateway can't vote, nor keep what it obeyed."""
         if not self._config.voters:
             return ()
-        try:
-            self._folder.joinpath("duties").mkdir(exist_ok=True)
-            self._duty_log, found = Log.open(self._folder / "duties", self._on_failure, disk=self._disk)
-        except (OSError, DamagedError) as error:
-            self._logger.error("duties_unusable", cause=str(error))
-            return ()
-        return (*found.snapshot, *found.records)
+        self._duty_log = DutyLog.open(self._folder, self._logger, self._on_failure, self._disk)
+        return self._duty_log.records
 
     def _abstain(self, now: float, why: str) -> None:
         self._witness.abstains = why
@@ -288,7 +267,7 @@
     # The reading thread
 
     def _read(self) -> None:
-        bucket = Bucket(RATE)
+        rate_limit = SenderRateLimit(RATE)
         while not self._stopped:
             try:
                 data, sender = self._socket.recvfrom(MOST + 1)
@@ -296,7 +275,7 @@
                 if self._stopped:
                     return
                 continue  # a peer's port that is closed, told by the kernel: its silence says the same
-            if not bucket.take(sender, time.monotonic()) or self._handed_in - self._taken >= WAITING:
+            if not rate_limit.take(sender, time.monotonic()) or self._handed_in - self._taken >= WAITING:
                 self.flooded += 1
                 continue
             try:
@@ -380,19 +359,14 @@
     def _vote(self, desk: Desk, now: float, write: Write) -> list[d.Order]:
         """Make a record of duties durable, then tell them."""
         assert self.fleet is not None and self.fleet.duties is not None, "whose record it is"
-        if self._duty_log is None:
-            out = self.fleet.duties.written(now, write.token, "no log of duties")
-            return self._carry(desk, now, [*out])
         duties = self.fleet.duties
+        if self._duty_log is None or not self._duty_log.usable:
+            return self._carry(desk, now, [*duties.written(now, write.token, NO_LOG)])
 
-        def done(error: OSError | None) -> None:
-            trouble = "" if error is None else f"duties can't be recorded: {error}"
+        def written(trouble: str) -> None:
             self._loop().put(lambda desk, now: self._voted(desk, now, duties, write, trouble))
 
-        note_vote(self._logger, now, write.record)
-        self._duty_log.append(write.record, done)
-        if duties.wants_snapshot():
-            self._duty_log.compact(duties.snapshot())
+        self._duty_log.write(now, duties, write, written)
         return []
 
     def _voted(self, desk: Desk, now: float, duties: Duties, write: Write, trouble: str) -> list[d.Order]:
