--- a/otterglade/cli/main.py
+++ b/otterglade/cli/main.py
@@ -5,6 +5,7 @@
 import click
 
 from .check import check
+from .control import control
 from .day import day, days
 from .demo import demo
 from .explore import explore
@@ -21,7 +22,7 @@
     """A session front: places video sessions on media hosts and shapes them."""
 
 
-for command in (run, check, replay, day, days, explore, demo, peers, fleet, standin):
+for command in (run, check, replay, day, days, explore, demo, peers, fleet, control, standin):
     main.add_command(command)
 
 
--- /dev/null
+++ b/tests/test_distribution_carriers.py
@@ -0,0 +1,388 @@
+"""What carries configuration between machines: sealed bodies, files that survive a kill, connections."""
+
+from __future__ import annotations
+
+import errno
+import json
+import threading
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from otterglade.core.distribution.items import EMPTY_ROOT, ItemStore
+from otterglade.core.distribution.log import RevisionLog
+from otterglade.core.distribution.messages import (
+    MessageError,
+    PartRequest,
+    ProposeRequest,
+    ReadAnswer,
+    ReadRequest,
+    StoreRequest,
+)
+from otterglade.core.distribution.placement import ControlMachine
+from otterglade.core.distribution.revision import GENESIS, Change, Delta, RevisionId, Snapshot
+from otterglade.core.distribution.subscriber import Subscriber, SubscriberTiming
+from otterglade.gateway.distribution import envelope as envelopes
+from otterglade.gateway.distribution.client import SubscriberClient
+from otterglade.gateway.distribution.config import load
+from otterglade.gateway.distribution.control import ControlMachineProcess
+from otterglade.gateway.distribution.envelope import Envelope, EnvelopeError
+from otterglade.gateway.distribution.exchange import READ_PATH, Carrier, CarryError
+from otterglade.gateway.distribution.files import FilesError, HeldRevision, Recovered, RevisionFiles
+from otterglade.gateway.distribution.proposing import propose
+from otterglade.net.http import Client
+from otterglade.obs.logs import logger
+from otterglade.store.disk import Disk, RealDisk
+from tests.control_fleet import BOUND_SECONDS, ControlFleet, until
+
+KEYS = {"old": bytes(32), "new": bytes(range(32))}
+SEALED_BY_OLD = Envelope(KEYS, "old")
+SEALED_BY_NEW = Envelope(KEYS, "new")
+QUICK = SubscriberTiming(spacing=0.02, wait=20.0, backoff_first=0.05, backoff_most=0.2, return_after=60.0)
+READ = ReadRequest("g0", "run", GENESIS, EMPTY_ROOT, 10.0)
+
+
+def fail(thread: str, error: BaseException) -> None:
+    raise AssertionError(f"{thread} failed") from error
+
+
+# Envelope
+
+
+def test_a_body_is_read_with_any_known_key_and_as_what_it_was_sealed() -> None:
+    sealed = SEALED_BY_OLD.seal(READ)
+    assert SEALED_BY_NEW.open(sealed, ReadRequest) == READ
+    stranger = Envelope({"other": bytes(32)}, "other")
+    for opened_by, message_type in ((SEALED_BY_NEW, PartRequest), (stranger, ReadRequest)):
+        with pytest.raises(EnvelopeError):
+            opened_by.open(sealed, message_type)
+
+
+def test_no_byte_of_a_body_can_be_changed_cut_or_added(monkeypatch: pytest.MonkeyPatch) -> None:
+    sealed = SEALED_BY_OLD.seal(READ)
+
+    def parsed(*_: object, **__: object) -> None:
+        raise AssertionError("parsed before it was authenticated")
+
+    monkeypatch.setattr(msgspec.msgpack, "decode", parsed)
+    changed = [sealed[:x] + bytes((sealed[x] ^ 1,)) + sealed[x + 1 :] for x in range(len(sealed))]
+    cut = [sealed[:x] for x in range(len(sealed))]
+    for data in (*changed, *cut, sealed + b"\0"):
+        with pytest.raises(EnvelopeError):
+            SEALED_BY_NEW.open(data, ReadRequest)
+
+
+@given(st.binary(max_size=200))
+def test_whatever_bytes_come_they_are_refused_as_such(data: bytes) -> None:
+    with pytest.raises(EnvelopeError):
+        SEALED_BY_NEW.open(data, ReadAnswer)
+
+
+OUT_OF_BOUNDS: dict[str, msgspec.Struct] = {
+    "no name": msgspec.structs.replace(READ, name=""),
+    "a long run": msgspec.structs.replace(READ, run="x" * 101),
+    "a digest that is none": msgspec.structs.replace(READ, root=b"short"),
+    "an endless wait": msgspec.structs.replace(READ, wait=float("inf")),
+    "a wait that is no number": msgspec.structs.replace(READ, wait=float("nan")),
+    "a negative term": msgspec.structs.replace(READ, in_force=RevisionId(-1, 0)),
+    "a huge number": msgspec.structs.replace(READ, in_force=RevisionId(0, 1 << 62)),
+    "no change": ProposeRequest("p", ()),
+    "a long key": ProposeRequest("p", (Change("k" * 201, b""),)),
+    "a key twice": ProposeRequest("p", (Change("k", b"1"), Change("k", None))),
+    "a delta back": StoreRequest("v0", Delta(GENESIS, EMPTY_ROOT, GENESIS, EMPTY_ROOT, ())),
+    "a negative offset": PartRequest("g0", bytes(16), -1),
+}
+
+
+@pytest.mark.parametrize("case", OUT_OF_BOUNDS)
+def test_a_message_out_of_bounds_is_neither_sealed_nor_opened(case: str) -> None:
+    message = OUT_OF_BOUNDS[case]
+    with pytest.raises(MessageError):
+        SEALED_BY_NEW.seal(message)
+    form = envelopes.FORMATS[type(message)]
+    body = msgspec.msgpack.encode(message)
+    sealed = b"\3new" + SEALED_BY_NEW._mac("new", form.kind, body) + body
+    with pytest.raises(MessageError) as told:
+        SEALED_BY_NEW.open(sealed, type(message))
+    assert not isinstance(told.value, EnvelopeError)
+
+
+# Files
+
+
+def delta(number: int, value: bytes, store: ItemStore) -> Delta:
+    """The next revision on top of a store, which it is applied to."""
+    changes = (Change(f"setting/{number % 3}", value),)
+    base_root = store.root
+    store.apply(changes)
+    base = RevisionId(1, number - 1) if number > 1 else GENESIS
+    return Delta(base, base_root, RevisionId(1, number), store.root, changes)
+
+
+class Told:
+    """What a file said of one content."""
+
+    def __init__(self) -> None:
+        self._event = threading.Event()
+        self.trouble = ""
+
+    def __call__(self, trouble: str) -> None:
+        self.trouble = trouble
+        self._event.set()
+
+    def durable(self) -> str:
+        assert self._event.wait(BOUND_SECONDS)
+        return self.trouble
+
+
+def reopened(folder: Path, disk: Disk | None = None) -> tuple[RevisionFiles, Recovered]:
+    return RevisionFiles.open(folder, logger("error"), fail, disk)
+
+
+def stored(folder: Path, count: int, value: bytes = b"x") -> list[Delta]:
+    """Candidates that were stored, all but the last accepted."""
+    files, _ = reopened(folder)
+    store = ItemStore()
+    deltas = [delta(x + 1, value, store) for x in range(count)]
+    for one in deltas:
+        told = Told()
+        files.store_candidate(StoreRequest("v0", one, ("p",)), told)
+        assert told.durable() == ""
+        if one is not deltas[-1]:
+            files.accept(one.target, one.root)
+    assert files.close(BOUND_SECONDS)
+    return deltas
+
+
+def test_what_was_told_durable_is_there_after_a_start_whatever_its_size(tmp_path: Path) -> None:
+    deltas = stored(tmp_path, 3, b"v" * 1_300_000)
+    files, found = reopened(tmp_path)
+    assert found == Recovered(None, tuple(deltas[:-1]), (StoreRequest("v0", deltas[-1], ("p",)),))
+    assert files.close(BOUND_SECONDS)
+
+
+def test_a_log_cut_anywhere_gives_whole_contents_and_goes_on(tmp_path: Path) -> None:
+    deltas = stored(tmp_path / "whole", 3)
+    [path] = (tmp_path / "whole" / "revisions").iterdir()
+    data = path.read_bytes()
+    for cut in range(0, len(data), 7):
+        folder = tmp_path / f"cut-{cut}"
+        folder.joinpath("revisions").mkdir(parents=True)
+        folder.joinpath("revisions", path.name).write_bytes(data[:cut])
+        files, found = reopened(folder)
+        assert found.deltas == tuple(deltas[: len(found.deltas)]) and not found.damaged
+        assert [x.delta for x in found.candidates] in ([], [deltas[len(found.deltas)]])
+        told = Told()
+        files.store_candidate(StoreRequest("v0", deltas[2]), told)
+        assert told.durable() == ""
+        assert files.close(BOUND_SECONDS)
+        files, found = reopened(folder)
+        assert found.candidates[-1].delta == deltas[2]
+        assert files.close(BOUND_SECONDS)
+
+
+def test_a_snapshot_stands_for_what_was_accepted_and_keeps_what_is_open(tmp_path: Path) -> None:
+    deltas = stored(tmp_path, 4)
+    files, _ = reopened(tmp_path)
+    log = RevisionLog()
+    for one in deltas[:-1]:
+        log.append(one)
+    files.compact(log.snapshot())
+    assert files.close(BOUND_SECONDS)
+    files, found = reopened(tmp_path)
+    assert found.snapshot == log.snapshot()
+    assert (found.deltas, [x.delta for x in found.candidates]) == ((), [deltas[-1]])
+    assert files.close(BOUND_SECONDS)
+
+
+def test_a_damaged_folder_is_put_aside_each_time_and_said(tmp_path: Path) -> None:
+    for number in (1, 2):
+        stored(tmp_path, 2)
+        [path] = (tmp_path / "revisions").iterdir()
+        data = bytearray(path.read_bytes())
+        data[len(data) // 2] ^= 0xFF
+        path.write_bytes(data)
+        files, found = reopened(tmp_path)
+        assert found.damaged and found.deltas == () and found.snapshot is None
+        assert files.close(BOUND_SECONDS)
+        assert len(list(tmp_path.glob("revisions.damaged*"))) == number
+
+
+class FullDisk(RealDisk):
+    """A disk with no room while it is told so."""
+
+    full = False
+
+    def write(self, fd: int, data: bytes) -> int:
+        if self.full:
+            raise OSError(errno.ENOSPC, "no space left on device")
+        return super().write(fd, data)
+
+
+def test_a_content_that_can_not_be_written_is_not_told_durable_and_later_ones_are(tmp_path: Path) -> None:
+    disk = FullDisk()
+    files, _ = reopened(tmp_path, disk)
+    store = ItemStore()
+    first, second = delta(1, b"1" * 2_000_000, store), delta(2, b"2" * 2_000_000, store)
+    disk.full = True
+    lost = Told()
+    files.store_candidate(StoreRequest("v0", first), lost)
+    assert "no space left" in lost.durable()
+    disk.full = False
+    kept = Told()
+    files.store_candidate(StoreRequest("v0", second), kept)
+    assert kept.durable() == ""
+    assert files.close(BOUND_SECONDS)
+    files, found = reopened(tmp_path)
+    assert [x.delta for x in found.candidates] == [second] and not found.damaged
+    assert files.close(BOUND_SECONDS)
+
+
+def test_a_gateway_finds_its_last_revision_and_no_damaged_one(tmp_path: Path) -> None:
+    held = HeldRevision(tmp_path / "revision")
+    assert held.load() is None
+    store = ItemStore()
+    one = delta(1, b"x", store)
+    snapshot = Snapshot(one.target, one.root, store.changes())
+    held.save(snapshot)
+    assert held.load() == snapshot
+    data = (tmp_path / "revision").read_bytes()
+    for index in range(len(data)):
+        (tmp_path / "revision").write_bytes(data[:index] + bytes((data[index] ^ 1,)) + data[index + 1 :])
+        with pytest.raises(FilesError):
+            held.load()
+
+
+# Connections
+
+
+class Alone:
+    """One voter in this process, which is its own majority."""
+
+    def __init__(self, folder: Path, **changes: Any) -> None:
+        self.plan = ControlFleet(folder, voters=1, relays=0)
+        self.broken = threading.Event()
+        self._file = folder / "v0.json"
+        self._file.write_text(json.dumps(self.plan.config("v0") | {"lease_s": 0.5} | changes))
+        self.start()
+
+    def start(self) -> None:
+        self.process = ControlMachineProcess(load(self._file), logger("error"), self.broken.set)
+        self.process.start()
+
+    @property
+    def machine(self) -> ControlMachine:
+        return self.plan.control_machines("v0")[0]
+
+    def propose(self, key: str, value: bytes) -> RevisionId:
+        change = [Change(key, value)]
+        answer = propose(change, [self.process.address], self.plan.envelope, BOUND_SECONDS)
+        assert answer.accepted and answer.revision is not None, answer
+        return answer.revision
+
+    def client(self, applied: Callable[[RevisionId], None], *machines: ControlMachine) -> SubscriberClient:
+        subscriber = Subscriber("g0", "run", machines, "east", "z0", time.monotonic(), 1, QUICK)
+        return SubscriberClient(
+            subscriber,
+            self.plan.envelope,
+            on_applied=lambda revision, changes, whole: applied(revision),
+            log=logger("error"),
+            on_failure=fail,
+        )
+
+
+@pytest.fixture
+def alone(tmp_path: Path) -> Iterator[Alone]:
+    started = Alone(tmp_path)
+    yield started
+    assert started.process.stop()
+    assert not started.broken.is_set()
+
+
+def test_a_client_reads_on_after_its_machine_was_away_and_stops_in_the_middle_of_a_read(
+    alone: Alone,
+) -> None:
+    applied: list[RevisionId] = []
+    client = alone.client(applied.append, alone.machine)
+    client.start()
+    first = alone.propose("title/big", b"0123456789" * 300_000)
+    until(lambda: applied == [first], "the first revision")
+    assert alone.process.stop()
+    until(lambda: client.failed_exchanges > 0, "the machine is gone")
+    alone.start()
+    second = alone.propose("setting/a", b"2")
+    until(lambda: applied == [first, second], "the second revision, and only that")
+    until(lambda: alone.plan.status("v0")["waiting"] == 1, "a read is held")
+    began = time.monotonic()
+    client.stop()
+    assert client.closed(BOUND_SECONDS)
+    assert time.monotonic() - began < QUICK.wait / 2
+    until(lambda: alone.plan.status("v0")["readers"] == 0, "the reader is gone")
+    assert alone.plan.status("v0")["report"]["subscribers"] == 0
+
+
+def test_a_client_takes_other_machines_and_contents_while_a_read_is_held(alone: Alone) -> None:
+    applied: list[RevisionId] = []
+    client = alone.client(applied.append)
+    client.start()
+    first = alone.propose("setting/a", b"1")
+    store = ItemStore()
+    changes = (Change("setting/a", b"1"),)
+    store.apply(changes)
+    client.took(Delta(GENESIS, EMPTY_ROOT, first, store.root, changes))
+    client.set_machines([alone.machine])
+    until(lambda: alone.plan.status("v0")["waiting"] == 1, "a read is held")
+    client.set_machines([])
+    until(lambda: alone.plan.status("v0")["readers"] == 0, "the read is given up")
+    second = alone.propose("setting/a", b"2")
+    client.set_machines([alone.machine])
+    until(lambda: applied == [second], "what came the other way is not read again")
+    client.stop()
+    assert client.closed(BOUND_SECONDS)
+
+
+def test_what_is_forged_unknown_or_out_of_bounds_is_refused_and_the_machine_goes_on(alone: Alone) -> None:
+    host, port = alone.process.address.split(":")
+    client = Client((host, int(port)), 1.0)
+    post = [
+        (READ_PATH, b"", 403),
+        (READ_PATH, Envelope({"lab": bytes(32)}, "lab").seal(READ), 403),
+        (READ_PATH, alone.plan.envelope.seal(PartRequest("g0", bytes(16), 0)), 403),
+        (b"/v1/nothing", b"", 404),
+    ]
+    for path, body, status in post:
+        answer = client.exchange(b"POST", path, deadline=time.monotonic() + 5.0, body=body)
+        assert answer.status == status
+    assert alone.plan.status("v0")["refused"] == 3
+    with pytest.raises(CarryError, match="out of bounds"):
+        Carrier(alone.process.address, alone.plan.envelope).exchange(
+            msgspec.structs.replace(READ, name=""), ReadAnswer, 1.0
+        )
+
+
+def test_readers_over_the_limit_are_turned_away_and_proposals_still_come_through(tmp_path: Path) -> None:
+    alone = Alone(tmp_path, most_readers=3)
+    answers: list[RevisionId] = []
+
+    def read(number: int) -> None:
+        request = msgspec.structs.replace(READ, name=f"g{number}")
+        carrier = Carrier(alone.process.address, alone.plan.envelope)
+        answers.append(carrier.exchange(request, ReadAnswer, BOUND_SECONDS).message.revision)
+
+    threads = [threading.Thread(target=read, args=(x,)) for x in range(3)]
+    for thread in threads:
+        thread.start()
+    until(lambda: alone.plan.status("v0")["waiting"] == 3, "three reads are held")
+    with pytest.raises(CarryError, match="answered 503: 3 readers are connected"):
+        read(3)
+    revision = alone.propose("setting/a", b"1")
+    for thread in threads:
+        thread.join(BOUND_SECONDS)
+    assert answers == [revision] * 3
+    assert alone.process.stop()
