core/fleet: duty split into messages, records, line, tree, orders and status

duty.py (807 lines) held six jobs: what is said upwards and downwards, what is durable, the state of one duty, the tree, the orders and how an operator is shown it. Each has a module, 34 to 224 lines; duty.py keeps the votes and the entrances (some 400).

--- /dev/null
+++ b/otterglade/core/fleet/duty_records.py
@@ -0,0 +1,90 @@
+"""Records of duties in a gateway's log, and those that are on their way to the disk."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+import msgspec
+
+from .actions import Write
+from .register import Mark, Record
+from .work import Order
+
+SNAPSHOT_AFTER = 1000
+"""Records appended after which the log is to be replaced by a snapshot."""
+
+
+class Fence(msgspec.Struct, frozen=True, array_like=True, tag="fence"):
+    """One record of the log: the highest order obeyed of a duty whose effect lasts."""
+
+    duty: str
+    term: int
+    number: int
+    owner: str
+    state: bytes
+
+    @property
+    def mark(self) -> Mark:
+        return self.term, self.number
+
+
+class DutyError(ValueError):
+    """Bytes that are no record of this program."""
+
+
+def order_of(fence: Fence, until: float) -> Order:
+    """The order that a fence stands for, as it holds until then."""
+    return Order(fence.duty, fence.term, fence.number, fence.owner, fence.state, until)
+
+
+def fence_of(order: Order) -> Fence:
+    """The record of an order."""
+    return Fence(order.duty, order.term, order.number, order.owner, order.state)
+
+
+def decode(data: bytes) -> Record | Fence:
+    """One record of the log. Raises DutyError for bytes that are none."""
+    try:
+        return msgspec.msgpack.decode(data, type=Record | Fence)
+    except msgspec.MsgspecError as error:
+        raise DutyError(f"record of a duty: {error}") from error
+
+
+@dataclass(frozen=True, slots=True)
+class Writing:
+    """A record on its way to the disk, and who waits for a word."""
+
+    duty: str
+    record: Record | Fence
+    to: str
+    question: int
+
+
+class Writes:
+    """The records on their way to the disk, by the token that comes back with each."""
+
+    def __init__(self) -> None:
+        self._writes: dict[int, Writing] = {}
+        self._tokens = 0
+        self._appended = 0
+
+    def write(self, duty: str, record: Record | Fence, to: str = "", question: int = 0) -> Write:
+        """Have a record written."""
+        self._tokens += 1
+        self._appended += 1
+        self._writes[self._tokens] = Writing(duty, record, to, question)
+        return Write(msgspec.msgpack.encode(record), self._tokens)
+
+    def take(self, token: int) -> Writing | None:
+        """What has come back from the disk; None: nothing that is known."""
+        return self._writes.pop(token, None)
+
+    def wants_snapshot(self) -> bool:
+        """Whether so much was appended that a snapshot is worth it."""
+        return self._appended > SNAPSHOT_AFTER
+
+    def encode_snapshot(self, records: Iterable[Record | Fence]) -> list[bytes]:
+        """A snapshot's records, encoded; counting begins anew."""
+        self._appended = 0
+        return [msgspec.msgpack.encode(x) for x in records]
--- a/otterglade/core/fleet/fleet.py
+++ b/otterglade/core/fleet/fleet.py
@@ -94,7 +94,7 @@
                     settled = msgspec.msgpack.decode(message.body, type=Settled)
                     out.append(Keep(self.witness.settled(now, settled)))
         except msgspec.MsgspecError:
-            self.members.dropped["unreadable body"] = self.members.dropped.get("unreadable body", 0) + 1
+            self.members.drop("unreadable body")
         return out
 
     def kept(self, now: float, keep: Keep, trouble: str = "") -> list[Action]:
--- a/otterglade/core/fleet/members.py
+++ b/otterglade/core/fleet/members.py
@@ -337,10 +337,11 @@
 
     def _pass(self, reason: str, answers: Iterable[Message] = ()) -> Heard:
         """Nothing of the message was taken."""
-        self._drop(reason)
+        self.drop(reason)
         return Heard(False, [*answers])
 
-    def _drop(self, reason: str) -> list[Message]:
+    def drop(self, reason: str) -> list[Message]:
+        """Count what was not taken, by reason. No messages, for who answers with these."""
         self.dropped[reason] = self.dropped.get(reason, 0) + 1
         return []
 
@@ -384,7 +385,7 @@
         try:
             standing = Standing(piece.standing)
         except ValueError:
-            self._drop("unknown standing")
+            self.drop("unknown standing")
             return
         number = (piece.boot, piece.turn)
         if piece.name == self.name:
@@ -392,10 +393,10 @@
             return
         peer = self.peers.get(piece.name)
         if peer is None or standing is Standing.UNKNOWN or piece.boot < 1:
-            self._drop("word about nobody")
+            self.drop("word about nobody")
             return
         if piece.boot < peer.floor:
-            self._drop("old run")
+            self.drop("old run")
             return
         word = said(peer.number, standing, number)
         if word in NEWER:
@@ -441,7 +442,7 @@
                 return [self.message(Kind.ACK, peer.name, now, question=message.question)]
             case Kind.ASK:
                 if message.about not in self.peers or len(self._questions) >= MOST_ASKED:
-                    return self._drop("asked too much")
+                    return self.drop("asked too much")
                 wait = self.pace.answer
                 return [self._ping(now, message.about, wait, asker=peer.name, asked=message.question)]
             case Kind.ACK | Kind.NACK:
@@ -456,7 +457,7 @@
         question = self._questions.get(message.question)
         about = message.about or message.sender
         if question is None or question.about != about or (message.about and not question.own):
-            return self._drop("answers nothing")
+            return self.drop("answers nothing")
         if message.kind is Kind.NACK:
             question.nacks += 1
             return []
--- a/otterglade/explore/duties.py
+++ b/otterglade/explore/duties.py
@@ -27,6 +27,9 @@
 
 from ..core.fleet.actions import Send, Write
 from ..core.fleet.duty import Duties
+from ..core.fleet.duty_orders import Orders
+from ..core.fleet.duty_records import Writes
+from ..core.fleet.duty_tree import Tree
 from ..core.fleet.members import Members
 from ..core.fleet.messages import Kind, Message
 from ..core.fleet.register import Pace, Voters
@@ -769,14 +772,17 @@
         return 0
     duties: Any = asker.alive()
     if message.kind in (Kind.UP, Kind.DOWN):
-        return sorted(duties._asked).index(message.question) if message.question in duties._asked else "over"
+        asked = duties.orders._asked
+        return sorted(asked).index(message.question) if message.question in asked else "over"
     proposer = duties._lines[DUTY].proposer
     polls = [x.question for x in (proposer._round, *proposer._renewals) if x is not None]
     return polls.index(message.question) if message.question in polls else "over"
 
 
 _PLAIN = frozenset((int, str, bytes, bool, type(None)))
-_CONSTANT = frozenset((Scope, Pace, Voters))
+_CONSTANT = frozenset((Scope, Pace, Voters, Tree))
+_BY_ORDER = {Orders: "_asked", Writes: "_writes"}
+"""What is kept under keys that are only compared: it is walked in their order, without them."""
 
 
 def _walk(value: Any, out: list[object], seen: dict[Any, Any]) -> None:
@@ -823,9 +829,11 @@
         out.append(seen[id(value)])
     elif kind is Duties:
         seen[id(value)] = "duties"
-        for name in ("_asked", "_writes"):  # by their order: their keys are only compared
-            one = value.__dict__[name]
-            _walk([one[x] for x in sorted(one)], out, seen)
+        _fields_of(value.__dict__.items(), out, seen)
+    elif kind in _BY_ORDER:
+        seen[id(value)] = kind.__name__
+        kept = value.__dict__[_BY_ORDER[kind]]
+        _walk([kept[x] for x in sorted(kept)], out, seen)
         _fields_of(value.__dict__.items(), out, seen)
     elif kind is FunctionType:
         out.append(value.__qualname__)
--- a/otterglade/gateway/distribution/voting.py
+++ b/otterglade/gateway/distribution/voting.py
@@ -18,7 +18,8 @@
 
 from ...config.script import address as parse_address
 from ...core.fleet.actions import Send, Write
-from ...core.fleet.duty import Duties, DutyError
+from ...core.fleet.duty import Duties
+from ...core.fleet.duty_records import DutyError
 from ...core.fleet.members import Members
 from ...core.fleet.messages import MOST, Kind, Message, Seal, SealError
 from ...core.fleet.proposer_stages import Stage
--- a/otterglade/gateway/duties.py
+++ b/otterglade/gateway/duties.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from ..core.fleet.duty import Fence
+from ..core.fleet.duty_records import Fence
 from ..core.fleet.editions import Book, EditionsError
 from ..core.fleet.register import Record
 from ..core.fleet.routes import Routes
--- a/otterglade/gateway/peers.py
+++ b/otterglade/gateway/peers.py
@@ -22,7 +22,8 @@
 from ..core.attempts import Entry
 from ..core.desk import Desk
 from ..core.fleet.actions import Drop, Keep, Polled, Send, Store, Write
-from ..core.fleet.duty import Duties, DutyError
+from ..core.fleet.duty import Duties
+from ..core.fleet.duty_records import DutyError
 from ..core.fleet.fleet import Action, Fleet
 from ..core.fleet.members import Members
 from ..core.fleet.messages import MOST, Message, Seal, SealError
--- a/tests/planted_duties.py
+++ b/tests/planted_duties.py
@@ -17,7 +17,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from otterglade.core.fleet import acceptor, duty, proposer, register
+from otterglade.core.fleet import acceptor, duty, duty_orders, proposer, register
 from otterglade.explore import duty_search
 from otterglade.explore.duties import RARE, Scope
 
@@ -69,6 +69,7 @@
 
 
 A, P, D, V = acceptor.Acceptor, proposer.Proposer, duty.Duties, register.Voters
+R = duty_orders.Orders
 FAULTS = (
     Fault("a promise is told before it is on disk", A, "ask", "return None, self.writing",
           "return (self.written(now), None) if vote.ask is Ask.PREPARE else (None, self.writing)", "fast=2 settled=0 late kills"),
@@ -92,11 +93,11 @@
     Fault("a successor goes on in the term", P, "hand", "term=held.term + 1", "term=held.term", "handed calm"),
     Fault("an owner does not look at its lease first", D, "_wake", "line.proposer.lapse(now)", "pass", "stops lost late", 17, "ended term"),
     Fault("a new owner changes at once", D, "_decide", "if now < mine.owned_at + self.pace.mute:", "if False:", "cuts", 1, "two terms in force"),
-    Fault("an order holds from its arrival", D, "_down", "question.at + told.left", "now + told.left", "handed stops cuts"),
-    Fault("a relay gives the whole hold again", D, "_tells", "order.until - now, state", "self.pace.hold, state", "kills calm"),
-    Fault("an older mark is obeyed", D, "_hear", "if mark < stands.mark:", "if False:", "late cuts", 2, "backwards"),
-    Fault("marks are compared by number first", D, "_hear", "if mark < stands.mark:", "if mark[::-1] < stands.mark[::-1]:", "kills cuts calm"),
-    Fault("the fence is kept in memory alone", D, "_hear", "if not line.work.lasting:", "if True:", "kills", 1, "forgotten"),
+    Fault("an order holds from its arrival", R, "receive_answer", "question.at + told.left", "now + told.left", "handed stops cuts"),
+    Fault("a relay gives the whole hold again", R, "_tells", "order.until - now, state", "self._pace.hold, state", "kills calm"),
+    Fault("an older mark is obeyed", R, "_hear", "if mark < stands.mark:", "if False:", "late cuts", 2, "backwards"),
+    Fault("marks are compared by number first", R, "_hear", "if mark < stands.mark:", "if mark[::-1] < stands.mark[::-1]:", "kills cuts calm"),
+    Fault("the fence is kept in memory alone", R, "_hear", "if not line.work.lasting:", "if True:", "kills", 1, "forgotten"),
     Fault("a start does not read its fence", D, "restore", "elif record.duty in self._lines:", "elif False:", "kills", 1, "forgotten"),
     Fault("a snapshot leaves out the fence", D, "snapshot", "elif line.work.lasting and line.fence is not None:", "elif False:", "packed kills", 1, "forgotten"),
     Fault("a snapshot leaves out the acceptance", D, "snapshot", "if line.acceptor is not None:", "if False:", "packed kills cuts"),
--- a/tests/test_duty.py
+++ b/tests/test_duty.py
@@ -15,7 +15,9 @@
 
 from otterglade.core.fleet.acceptor import Voter
 from otterglade.core.fleet.actions import Send, Write
-from otterglade.core.fleet.duty import Down, Duties, Fence, Part, Told, Up, _packed
+from otterglade.core.fleet.duty import Duties
+from otterglade.core.fleet.duty_messages import Down, Part, Told, Up, packed
+from otterglade.core.fleet.duty_records import Fence
 from otterglade.core.fleet.fleet import Fleet
 from otterglade.core.fleet.members import Members
 from otterglade.core.fleet.messages import MOST, Kind, Message, Seal
@@ -399,8 +401,8 @@
     world.run(8.0)
     (owner,) = world.owning()
     lines = {x: world.of(x) for x in world.names}
-    low = next(x for x in world.names if x != owner and lines[x]._above(lines[x]._lines["shed"]) != owner)
-    above = lines[low]._above(lines[low]._lines["shed"])
+    low = next(x for x in world.names if x != owner and lines[x].tree.above(lines[x]._lines["shed"]) != owner)
+    above = lines[low].tree.above(lines[low]._lines["shed"])
     world.cut.add((above, low))
     world.run(6.0)
     counts = []
@@ -411,7 +413,9 @@
     assert counts.count(14) >= 8 and min(counts) >= 13
     world.cut.clear()
     world.run(12.0)
-    assert lines[low]._above(lines[low]._lines["shed"]) == above and world.places[owner].works[0].told == 14
+    assert (
+        lines[low].tree.above(lines[low]._lines["shed"]) == above and world.places[owner].works[0].told == 14
+    )
 
 
 def test_a_new_owner_decides_nothing_until_the_orders_of_the_one_before_have_run_out() -> None:
@@ -708,7 +712,7 @@
     asked = low._lines["shed"]
     asked.tries, asked.ask_at, asked.silent = 2, low._began, 1  # the one above did not answer
     world.sent.clear()
-    world._carry(low.members.name, low._upwards(world.local(low.members.name)))
+    world._carry(low.members.name, low.orders.upwards(world.local(low.members.name), low._random))
     (question,) = (msgspec.msgpack.decode(x.body, type=Up) for x in world.sent if x.kind is Kind.UP)
     assert [x.sum for x in question.parts] == [b""]
 
@@ -779,15 +783,15 @@
     world.run(8.0)
     (owner,) = world.owning()
     lines = {x: (world.of(x), world.of(x)._lines["shed"]) for x in world.names if x != owner}
-    above = {x: duties._above(line) for x, (duties, line) in lines.items()}
+    above = {x: duties.tree.above(line) for x, (duties, line) in lines.items()}
     below = [sum(y == x for y in above.values()) for x in world.names]
     assert below[world.names.index(owner)] == 8 == max(below) and sum(below) == 29
     assert all(owner in (x, above.get(x), above.get(above.get(x, ""))) for x in world.names)
-    for rank, name in enumerate(world.of(owner)._names):
+    for rank, name in enumerate(world.of(owner).tree.names):
         assert world.of(name)._wait(0) >= 0.1 * min(rank, 8)
     told = [Told(x, 1, 1, "g1", 1.0, b"s" * MOST_STATE) for x in ("shed", "routes")]
-    assert [len(x) for x in _packed(told)] == [1, 1]
-    assert [len(x) for x in _packed([Part(x, 1, 1, 1, b"s" * MOST_SUM) for x in ("shed", "routes")])] == [2]
+    assert [len(x) for x in packed(told)] == [1, 1]
+    assert [len(x) for x in packed([Part(x, 1, 1, 1, b"s" * MOST_SUM) for x in ("shed", "routes")])] == [2]
 
 
 @pytest.mark.long
