--- a/otterglade/core/fleet/fleet.py
+++ b/otterglade/core/fleet/fleet.py
@@ -16,7 +16,8 @@
 from .duty import Duties
 from .members import Members
 from .messages import Kind, Message
-from .routes import Check, Routes
+from .route_checks import Check
+from .routes import Routes
 from .witness import SETTLES, Poll, Settled, Witness, Word, witnesses
 
 AGAIN = 0.08
--- a/otterglade/core/fleet/members.py
+++ b/otterglade/core/fleet/members.py
@@ -123,9 +123,16 @@
     """One gateway's view. `tick` when `due`, `received` for each message; both say what to send."""
 
     def __init__(
-        self, name: str, boot: int, run: str, peers: Iterable[str], now: float, seed: int,
-        pace: Pace | None = None, floors: Mapping[str, int] | None = None,
-    ) -> None:  # fmt: skip
+        self,
+        name: str,
+        boot: int,
+        run: str,
+        peers: Iterable[str],
+        now: float,
+        seed: int,
+        pace: Pace | None = None,
+        floors: Mapping[str, int] | None = None,
+    ) -> None:
         """`boot`: counts this gateway's starts, from 1, and is on its disk before it is used here. `floors`:
         the highest boots of others that an earlier run knew."""
         self.name, self.boot, self.turn, self.run = name, boot, 0, run
@@ -190,9 +197,21 @@
         self._numbers += 1
         peer = self.peers[to]
         bare = Message(
-            kind, self.name, self.boot, self.turn, self.run, self._numbers, to, peer.run, now - self.began,
-            question, about, peer.known, self.phase, body=body,
-        )  # fmt: skip
+            kind,
+            self.name,
+            self.boot,
+            self.turn,
+            self.run,
+            self._numbers,
+            to,
+            peer.run,
+            now - self.began,
+            question,
+            about,
+            peer.known,
+            self.phase,
+            body=body,
+        )
         room = ROOM - len(msgspec.msgpack.encode(bare)) - 2  # which the count of the words may take
         return msgspec.structs.replace(bare, pieces=self._pieces(to, room))
 
@@ -360,10 +379,19 @@
         known = peer.known if peer.known > message.boot or (peer.known == message.boot and another) else 0
         return [
             Message(
-                Kind.HELLO, self.name, self.boot, self.turn, self.run, self._numbers, peer.name, message.run,
-                age=now - self.began, knows=known, phase=self.phase,
+                Kind.HELLO,
+                self.name,
+                self.boot,
+                self.turn,
+                self.run,
+                self._numbers,
+                peer.name,
+                message.run,
+                age=now - self.began,
+                knows=known,
+                phase=self.phase,
             )
-        ]  # fmt: skip
+        ]
 
     def _heard(self, now: float, peer: Peer, message: Message) -> None:
         number = (message.boot, message.turn)
--- a/otterglade/explore/rollout.py
+++ b/otterglade/explore/rollout.py
@@ -17,8 +17,9 @@
 from ..core.fleet.editions import Book, key_of
 from ..core.fleet.members import Members
 from ..core.fleet.messages import Message
+from ..core.fleet.route_checks import Check
 from ..core.fleet.router import Router
-from ..core.fleet.routes import Action, Check, Routes
+from ..core.fleet.routes import Action, Routes
 from ..core.fleet.routing import Region, Routing, decode
 from ..core.fleet.standing import Standing
 from ..core.fleet.work import MOST_STATE, Order
--- a/otterglade/gateway/peers.py
+++ b/otterglade/gateway/peers.py
@@ -30,8 +30,9 @@
 from ..core.fleet.proposer_stages import Stage
 from ..core.fleet.recovery import Event, Phase, Returns, Start, what_happened
 from ..core.fleet.register import Voters
+from ..core.fleet.route_checks import Check
 from ..core.fleet.router import Router
-from ..core.fleet.routes import Check, Routes
+from ..core.fleet.routes import Routes
 from ..core.fleet.routing import Routing
 from ..core.fleet.standing import Standing
 from ..core.fleet.trust import Thing, keeps
--- a/tests/planted_gateway.py
+++ b/tests/planted_gateway.py
@@ -130,7 +130,7 @@
 
     def forestall(self: Routes, book: Book) -> None:
         mine = self._mine
-        if mine is not None and mine.edition.hex() in self._durable:
+        if mine is not None and mine.edition.hex() in self._routings.durable:
             book = book.admits(mine.region, mine.edition)
         act(self, book)
 
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -15,12 +15,12 @@
 from otterglade.core import interface as api
 from otterglade.core.attempts import Entry, Fate, Settled
 from otterglade.core.desk import Desk
+from otterglade.core.fleet import admissions, edition_stages
 from otterglade.core.fleet import editions as ed
-from otterglade.core.fleet import routes
 from otterglade.core.fleet import routing as rt
 from otterglade.core.fleet.editions import NEXT, NONE, UNREACHABLE, Book, Event, Proposal, Stage, Sum, key_of
+from otterglade.core.fleet.route_checks import Check, Verdict
 from otterglade.core.fleet.router import NOWHERE, Mode, Router, Rules
-from otterglade.core.fleet.routes import Check, Verdict
 from otterglade.core.fleet.routing import Accept, Placed, Region, Route, Routing
 from otterglade.core.fleet.work import MOST_STATE, MOST_SUM, Order
 from otterglade.core.messages import Ask, Place, Reply, SetUp, Terms
@@ -76,7 +76,7 @@
 def test_every_pair_is_reached_or_has_its_reason(monkeypatch: pytest.MonkeyPatch) -> None:
     assert {*NEXT} | {*UNREACHABLE} == {*itertools.product(Stage, Event)} and not {*NEXT} & {*UNREACHABLE}
     reached = Reached(NEXT)
-    monkeypatch.setattr(routes, "NEXT", reached)
+    monkeypatch.setattr(edition_stages, "NEXT", reached)
     x, y, key = part("a", to("a", name="x")), part("a", to("a", name="y")), key_of("a")
     edition = key, raw(x)
     ways: dict[Stage, Book] = {
@@ -95,13 +95,13 @@
             one.propose(0.0, routing)
         one.obey(0.0, Order("routes", 1, 2, "b1", then.pack(), 1.0))
         if after is not before:
-            assert one._stages.get(edition, after) is after or after is Stage.ABSENT
+            assert one._stages.of(edition) in (after, Stage.ABSENT) or after is Stage.ABSENT
     town = settled("a1", "a2", "b1")
     town.judges = False
     town["a2"].propose(x)
     town.run(1.0)
     town["a1"].propose(x)
-    assert town["a1"].routes._stages[edition] is Stage.PROPOSED and {*NEXT} == reached.read
+    assert town["a1"].routes._stages.of(edition) is Stage.PROPOSED and {*NEXT} == reached.read
 
 
 # The duty
@@ -157,7 +157,9 @@
     town.run(4.0)
     late = Proposal(key_of("a"), raw(part("a")), raw(A), 0, key_of("a2"))
     town["a1"].routes.decide(town.now, town.state, Sum(1, 1, 0, {}, (late,)).pack())
-    assert not town["a1"].routes._pending, "raised against what stands no more, told by who has not heard"
+    assert not town["a1"].routes._admissions.pending, (
+        "raised against what stands no more, told by who has not heard"
+    )
     won = town["a1"].edition
     assert won == town["a2"].edition and won in (A_TO_B.digest, other.digest)
     lost = town["a2" if won == A_TO_B.digest else "a1"]
@@ -280,8 +282,12 @@
     town.run(2.0)
     assert town["a1"].routes.status(town.now)["pending"]
     town["a1"].propose(A)
-    town.run(routes.UNHEARD + 2.0)
-    assert town["a1"].edition == A.digest and not town["a1"].routes._pending and not town.book.refusals
+    town.run(admissions.UNHEARD + 2.0)
+    assert (
+        town["a1"].edition == A.digest
+        and not town["a1"].routes._admissions.pending
+        and not town.book.refusals
+    )
     for other in (B_ALONE, Routing()):
         town["a1"].propose(other)
     town.run(1.0)
@@ -292,12 +298,12 @@
     town = settled("a1", "a2", "b1")
     town.judges = False
     town["a2"].propose(A_TO_B)
-    town.run(routes.PATIENCE + 3.0)
+    town.run(admissions.PATIENCE + 3.0)
     (refused,) = town["a2"].said("routes_refused")
     assert refused["kind"] == "cannot-be-read" and "judgement" in str(refused["why"])
     town.judges, town["a1"].disk_works = True, False  # the owner would admit what it may lose
     town["a2"].propose(A_TO_B)
-    town.run(routes.PATIENCE + 3.0)
+    town.run(admissions.PATIENCE + 3.0)
     assert A_TO_B.digest in str(town["a2"].said("routes_refused")[-1]["why"])
     assert town["a2"].edition == A.digest
 
@@ -342,7 +348,7 @@
     spilling = part("b", to("b", "a", spill=0.4), accept=())
     wander(town, {"a": (A, A_TO_B, part("a")), "b": (B, B_ALONE, spilling)}, seed, 25)
     town.cut = set()
-    town.run(routes.UNHEARD)
+    town.run(admissions.UNHEARD)
     assert not town.book.older
     assert town.acting() == [town.book.newest.get(x.key, b"").hex() for x in town.seats.values()]
 
@@ -425,8 +431,15 @@
         self.router, self.last = Router(site, ("vod", "paid")), 0
         self.router.act(own, others)
 
-    def ask(self, now: float = 0.0, who: str = "ann", title: str = "film", class_no: int = 0,
-            moved: bool = False, hosts: dict[int, api.ServerEntry] = HOSTS) -> tuple[int, ...]:  # fmt: skip
+    def ask(
+        self,
+        now: float = 0.0,
+        who: str = "ann",
+        title: str = "film",
+        class_no: int = 0,
+        moved: bool = False,
+        hosts: dict[int, api.ServerEntry] = HOSTS,
+    ) -> tuple[int, ...]:
         self.last += 1
         key = (f"{who}.tv", class_no, title)
         return self.router.zones(now, self.last, key, 4, Place(0, 2), moved, hosts)
