--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -13,6 +13,7 @@
 import time
 from dataclasses import replace
 from pathlib import Path
+from typing import Any
 
 from otterglade.lab.stage import Layout
 from otterglade.net.http import Client
@@ -26,8 +27,9 @@
     class Paid(Script):
         limits = "fetch_gap = 0.2"
 
-        def script(self, *arguments: str) -> str:
-            return super().script(*arguments).replace("contract(", f"contract(registrars = {registrars}, ")
+        def script(self, *arguments: Any, **named: Any) -> str:
+            text = super().script(*arguments, **named)
+            return text.replace("contract(", f"contract(registrars = {registrars}, ")
 
     paid = ({"name": "film", "effect": "unsafe", "goal": 1.5, "patience": 8.0, "worth": 1.0},)
     one = replace(ROOMY, hosts=4, racks=2, titles=4, classes=paid)
--- a/benchmarks/common.py
+++ b/benchmarks/common.py
@@ -30,14 +30,15 @@
 
     limits = "fetch_gap = 60.0"
 
-    def script(self, *arguments: str) -> str:
-        return super().script(*arguments).replace("fetch_gap = 4.0", self.limits)
+    def script(self, *arguments: Any, **named: Any) -> str:
+        return super().script(*arguments, **named).replace("fetch_gap = 4.0", self.limits)
 
 
 def roomy(limits: str, **changes: Any) -> Layout:
     """The roomy layout with limits of the gateway, as they stand in its script."""
     fields = {x: getattr(ROOMY, x) for x in ROOMY.__dataclass_fields__} | changes
-    return type("Limited", (Script,), {"limits": limits})(**fields)
+    limited: Layout = type("Limited", (Script,), {"limits": limits})(**fields)
+    return limited
 
 
 class Roomy(Stage):
--- /dev/null
+++ b/otterglade/lab/duty_world.py
@@ -0,0 +1,334 @@
+"""Duties in simulated time: real gateways' parts, each with a clock, a disk and faults of its own.
+
+An oracle watches every order that is obeyed; tests, and the measurements of capacity, run on it.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, field
+
+import msgspec
+
+from ..core.fleet.actions import Send, Write
+from ..core.fleet.duty import Duties
+from ..core.fleet.duty_records import Fence
+from ..core.fleet.fleet import Fleet
+from ..core.fleet.members import Members
+from ..core.fleet.messages import MOST, Kind, Message, Seal
+from ..core.fleet.register import Record, Voters
+from ..core.fleet.witness import Witness
+from ..core.fleet.work import Order
+
+SEAL = Seal({"mesh": b"k" * 32}, "mesh")
+
+
+class Count:
+    """A work whose states tell who decided them; its sums count gateways."""
+
+    def __init__(
+        self, world: World, seat: str, name: str = "shed", lasting: bool = False, every: int = 4
+    ) -> None:
+        self.world, self.seat, self.name, self.lasting, self.every = world, seat, name, lasting, every
+        self.asked, self.lapses = 0, 0
+        self.recalled: Order | None = None
+        self.told = 0
+
+    def own(self, now: float) -> bytes:
+        return msgspec.msgpack.encode(1)
+
+    def join(self, parts: Sequence[bytes]) -> bytes:
+        return msgspec.msgpack.encode(sum(msgspec.msgpack.decode(x, type=int) for x in parts))
+
+    def decide(self, now: float, state: bytes, told: bytes) -> bytes:
+        self.asked += 1
+        self.told = msgspec.msgpack.decode(told)
+        if self.every == 0 or self.asked % self.every:
+            return state
+        return self.world.decided(self.seat, self.name)
+
+    def obey(self, now: float, order: Order) -> None:
+        self.world.obeyed(self.seat, order, now)
+
+    def lapsed(self, now: float) -> None:
+        self.lapses += 1
+        self.world.in_force.pop((self.name, self.seat), None)
+
+    def recall(self, now: float, order: Order) -> None:
+        self.recalled = order
+
+
+@dataclass
+class Place:
+    """A gateway: its process, if it runs, its disk and its clock."""
+
+    offset: float
+    rate: float
+    boot: int = 0
+    fleet: Fleet | None = None
+    works: list[Count] = field(default_factory=list)
+    disk: list[bytes] = field(default_factory=list)
+    sync: float = 0.005
+    broken: str = ""
+    stopped: list[Message] | None = None
+    life: int = 0
+
+
+class World:
+    """`run(until)`; between two of them the caller commands links, processes and disks."""
+
+    def __init__(
+        self,
+        count: int,
+        seed: int,
+        voters: Voters | None = None,
+        *,
+        drift: float = 0.0,
+        duties: Sequence[tuple[str, bool]] = (("shed", False),),
+        every: int = 4,
+    ) -> None:
+        self.random = random.Random(seed)
+        self.names = [f"g{n}" for n in range(count)]
+        self.voters = voters or Voters(tuple(self.names[: 5 if count >= 5 else 3]))
+        self.duties, self.every = duties, every
+        self.now, self.lost, self.doubled, self.late = 0.0, 0.0, 0.0, (0.001, 0.01)
+        self.cut: set[tuple[str, str]] = set()
+        self.bytes: dict[str, int] = defaultdict(int)
+        self.sent: list[Message] = []
+        self.in_force: dict[tuple[str, str], tuple[Order, float]] = {}
+        self.decider: dict[bytes, int] = {b"": 0}
+        self.accepted: dict[tuple[str, int, int], dict[bytes, set[str]]] = defaultdict(
+            lambda: defaultdict(set)
+        )
+        self.published: dict[tuple[str, int, int], bytes] = {}
+        self.highest: dict[tuple[str, str], tuple[int, int]] = {}
+        self.owners: list[tuple[float, str, int]] = []
+        self.sets: set[Voters] = set()
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self.places = {
+            x: Place(self.random.uniform(0, 7200), 1 + self.random.uniform(-drift, drift)) for x in self.names
+        }
+        for name in self.names:
+            self.start(name)
+
+    # Oracle
+
+    def decided(self, seat: str, duty: str) -> bytes:
+        held = self.of(seat)._lines[duty].proposer.held
+        assert held is not None
+        state = f"{seat} {held.term} {next(self._order)}".encode()
+        self.decider[state] = held.term
+        return state
+
+    def obeyed(self, seat: str, order: Order, now: float) -> None:
+        place = self.places[seat]
+        key = (order.duty, seat)
+        assert order.mark >= self.highest.get(key, (0, 0)), "a mark went back"
+        lasting = dict(self.duties)[order.duty]
+        if lasting:
+            fences = [
+                x for x in map(read_record, place.disk) if isinstance(x, Fence) and x.duty == order.duty
+            ]
+            assert any(x.mark == order.mark for x in fences), "obeyed before its mark was durable"
+        self.highest[key] = order.mark
+        chosen = self.accepted[order.duty, *order.mark][order.state]
+        assert self.enough(chosen), "published, and no majority has it"
+        assert self.published.setdefault((order.duty, *order.mark), order.state) == order.state
+        until = self.now + (order.until - now) / place.rate
+        for (duty, other), (stands, ends) in self.in_force.items():
+            if duty == order.duty and other != seat and ends > self.now and stands.term != order.term:
+                newer = max(stands, order, key=lambda x: x.term)
+                assert self.decider[newer.state] < newer.term, (
+                    f"{other} goes by term {stands.term}, {seat} by {order.term}, and that one has changed it"
+                )
+        self.in_force[key] = (order, until)
+
+    def enough(self, names: set[str]) -> bool:
+        return any(x.enough(names, x.number) for x in self.sets)
+
+    def check_states(self) -> None:
+        """What a term begins with is what was published last, or what its owner had under way after it."""
+        for (duty, term, number), states in list(self.accepted.items()):
+            if number != 1:
+                continue
+            before = [x[1:] for x in self.published if x[0] == duty and x[1:] < (term, number)]
+            if before:
+                span = [x for x in self.accepted if x[0] == duty and max(before) <= x[1:] < (term, 1)]
+                later = {y for x in span for y in self.accepted[x]}
+                chosen = {x for x, y in states.items() if self.enough(y)}
+                assert chosen <= later, "a state that was published is lost"
+
+    # Processes
+
+    def of(self, name: str) -> Duties:
+        fleet = self.places[name].fleet
+        assert fleet is not None and fleet.duties is not None
+        return fleet.duties
+
+    def local(self, name: str) -> float:
+        return self.places[name].offset + self.now * self.places[name].rate
+
+    def start(self, name: str, boot: int = 0, abstains: str = "") -> None:
+        place = self.places[name]
+        place.life += 1
+        self.sets.add(self.voters)
+        place.boot = boot or place.boot + 1
+        run, now = f"{name}-{place.life}", self.local(name)
+        for duty, lasting in self.duties:
+            if not lasting:
+                self.highest.pop((duty, name), None)
+        members = Members(name, place.boot, run, self.names, now, self.random.getrandbits(32))
+        place.works = [Count(self, name, x, lasting, self.every) for x, lasting in self.duties]
+        duties = Duties(members, self.voters, place.works, now, self.random.getrandbits(32))
+        duties.restore(place.disk, now)
+        if abstains:
+            duties.abstains = abstains
+        place.fleet, place.stopped, place.broken = (
+            Fleet(members, Witness(1.0, 1.0), self.names, 0, duties),
+            None,
+            "",
+        )
+        self._alarm(name)
+
+    def kill(self, *names: str) -> None:
+        for name in names:
+            self.places[name].fleet = None
+            for duty, _ in self.duties:
+                self.in_force.pop((duty, name), None)
+
+    def stop(self, name: str) -> None:
+        self.places[name].stopped = []
+
+    def go_on(self, name: str, ticks_first: bool = False) -> None:
+        place = self.places[name]
+        waiting, place.stopped = place.stopped or [], None
+        if ticks_first:
+            self._tick(name, place.life, None)
+        for message in waiting:
+            self._arrive(message)
+        self._alarm(name)
+
+    def part(self, *groups: Iterable[str]) -> None:
+        for one, other in itertools.permutations([list(x) for x in groups], 2):
+            self.cut |= {*itertools.product(one, other)}
+
+    # Time
+
+    def at(self, when: float, act: Callable[[], None]) -> None:
+        heapq.heappush(self._queue, (when, next(self._order), act))
+
+    def run(self, seconds: float) -> None:
+        until = self.now + seconds
+        while self._queue and self._queue[0][0] <= until:
+            self.now, _, act = heapq.heappop(self._queue)
+            act()
+        self.now = until
+
+    def until(self, what: Callable[[], object], limit: float) -> float:
+        began = self.now
+        while not what():
+            assert self.now - began < limit, "not in time"
+            self.run(0.02)
+        return self.now - began
+
+    def _alarm(self, name: str) -> None:
+        place = self.places[name]
+        if place.fleet is None:
+            return
+        due, life = place.fleet.due(), place.life
+        real = (due - place.offset) / place.rate
+        self.at(max(self.now + 0.001, real), lambda: self._tick(name, life, due))
+
+    def _tick(self, name: str, life: int, due: float | None) -> None:
+        place = self.places[name]
+        if place.fleet is None or place.life != life or place.stopped is not None:
+            return
+        if due is not None and place.fleet.due() != due:
+            return
+        self._carry(name, place.fleet.tick(self.local(name)))
+        self._alarm(name)
+
+    def _carry(self, name: str, out: Iterable[object]) -> None:
+        for one in out:
+            match one:
+                case Send(message):
+                    self._send(message)
+                case Write(record, token):
+                    self._write(name, record, token)
+        duties = self.of(name)
+        for turn in duties.drained():
+            if turn.what == "owns":
+                self.owners.append((self.now, name, turn.term))
+
+    def _write(self, name: str, record: bytes, token: int) -> None:
+        place = self.places[name]
+        life, trouble = place.life, place.broken
+
+        def done() -> None:
+            if place.life != life or place.fleet is None:
+                return  # killed: what was not synced is lost
+            if place.stopped is not None:
+                self.at(self.now + 0.1, done)
+                return
+            if not trouble:
+                place.disk.append(record)
+                found = read_record(record)
+                if isinstance(found, Record) and found.held is not None and not found.doubt:
+                    self.accepted[found.duty, *found.held.mark][found.held.state].add(name)
+            if self.of(name).wants_snapshot():
+                place.disk[:] = self.of(name).snapshot()
+            self._carry(name, self.of(name).written(self.local(name), token, trouble))
+            self._alarm(name)
+
+        self.at(self.now + place.sync * self.random.uniform(0.5, 1.5), done)
+
+    def _send(self, message: Message) -> None:
+        size = len(SEAL.close(message))
+        assert size <= MOST
+        if message.kind in (Kind.VOTE, Kind.VOTED, Kind.UP, Kind.DOWN):
+            self.bytes[message.sender] += size
+        self.sent.append(message)
+        del self.sent[:-2000]
+        if (message.sender, message.to) in self.cut or self.random.random() < self.lost:
+            return
+        for _ in range(1 + (self.random.random() < self.doubled)):
+            self.at(self.now + self.random.uniform(*self.late), lambda: self._arrive(message))
+
+    def _arrive(self, message: Message) -> None:
+        place = self.places[message.to]
+        if place.stopped is not None:
+            place.stopped.append(message)
+        elif place.fleet is not None:
+            self._carry(message.to, place.fleet.received(self.local(message.to), message))
+            self._alarm(message.to)
+
+    # What is seen
+
+    def owning(self, duty: str = "shed") -> list[str]:
+        return [
+            x
+            for x, y in self.places.items()
+            if y.fleet is not None and y.stopped is None and self.of(x)._lines[duty].proposer.owns
+        ]
+
+    def all_ordered(self) -> bool:
+        return all(self.ordered(x) for x, _ in self.duties)
+
+    def ordered(self, duty: str = "shed", by: str = "", but: Iterable[str] = ()) -> bool:
+        """Whether every gateway that runs goes by an order, of this owner."""
+        found = [
+            self.of(x).order(duty, self.local(x))
+            for x, y in self.places.items()
+            if y.fleet is not None and y.stopped is None and x not in but
+        ]
+        return all(x is not None and (not by or x.owner == by) for x in found)
+
+
+def read_record(record: bytes) -> Record | Fence:
+    """A record of a log of duties."""
+    return msgspec.msgpack.decode(record, type=Record | Fence)
--- a/tests/distribution_world.py
+++ b/tests/distribution_world.py
@@ -42,8 +42,7 @@
 from otterglade.core.fleet.fleet import Fleet
 from otterglade.core.fleet.members import Members
 from otterglade.core.fleet.witness import Witness
-
-from .test_duty import World
+from otterglade.lab.duty_world import World
 
 HEADS_BYTES = 400
 """Of HTTP, on each exchange."""
