Distribution: reports are bounded where they are read; a proposal is applied once

A relay took reports of any length and negative counts; they are refused with what was found. A proposal asked for again while an earlier draft that has it was being accepted could go into a second draft: what an accepted revision has is split off before each draft and each give-back.

--- a/otterglade/core/distribution/relay.py
+++ b/otterglade/core/distribution/relay.py
@@ -19,6 +19,9 @@
 from .messages import (
     INLINE_BYTES,
     NAME_BYTES,
+    REASON_BYTES,
+    REVISIONS,
+    STRAGGLERS,
     MessageError,
     PartAnswer,
     PartRequest,
@@ -189,6 +192,28 @@
         raise MessageError(f"read with a digest of {len(request.root)} bytes; allowed: {DIGEST_BYTES}")
     if not math.isfinite(request.wait):
         raise MessageError(f"read that waits {request.wait} s")
+    if request.report is not None:
+        _check_report(request.report)
+
+
+def _check_report(report: Report) -> None:
+    if len(report.counts) > REVISIONS or len(report.stragglers) > STRAGGLERS:
+        raise MessageError(
+            f"report of {len(report.counts)} revisions and {len(report.stragglers)} stragglers;"
+            f" allowed: {REVISIONS} and {STRAGGLERS}"
+        )
+    numbers = [
+        report.subscribers,
+        report.older,
+        report.behind,
+        *(count.subscribers for count in report.counts),
+    ]
+    if min(numbers) < 0:
+        raise MessageError(f"report with a count of {min(numbers)}")
+    for straggler in report.stragglers:
+        _check_name(straggler.name)
+        if len(straggler.reason.encode()) > REASON_BYTES or not math.isfinite(straggler.behind_s):
+            raise MessageError(f"report: straggler {straggler.name} with a reason or time out of bounds")
 
 
 def _check_name(name: str) -> None:
--- a/otterglade/core/distribution/writer.py
+++ b/otterglade/core/distribution/writer.py
@@ -274,14 +274,20 @@
         """Draft the next revision, where there is none under way and everything accepted is held."""
         if self._owned_term is None or self._draft is not None or not self._queue or not self.caught_up:
             return []
-        taken = self._queue.take()
+        accepted, taken = self._split_accepted(self._queue.take())
+        if not taken:
+            return [*accepted, *self._begin(now)]
+        return [*accepted, *self._draft_of(now, taken)]
+
+    def _draft_of(self, now: float, taken: list[QueuedProposal]) -> list[Action]:
         changes = coalesce(queued.changes for queued in taken)
+        base = self._log.head
+        assert self._owned_term is not None, "only the writer drafts"
+        target = RevisionId(self._owned_term, base.number + 1)
         try:
             root = self._log.store.root_after(changes)
         except RevisionError as error:
             return [Refused(queued.proposal, str(error)) for queued in taken]
-        base = self._log.head
-        target = RevisionId(self._owned_term, base.number + 1)
         delta = Delta(base, self._log.root, target, root, changes)
         request = StoreRequest(self._voter, delta, names_of(taken))
         self._draft = _Draft(request, taken, now)
@@ -425,14 +431,27 @@
             self._give_back(draft, reason)
 
     def _give_back(self, draft: _Draft, reason: str) -> None:
-        revision = self._remembered.revision_of(draft.request.proposals[0])
-        names = names_of(draft.waiting)
-        if revision is not None:
-            self._actions += [Accepted(proposal, revision) for proposal in names]
-        elif draft.decided:
-            self._actions += [Unknown(proposal, f"{reason}; ask again", self._owner) for proposal in names]
-        else:
-            self._refuse(draft.waiting, reason)
+        accepted, others = self._split_accepted(draft.waiting)
+        self._actions += accepted
+        if not draft.decided:
+            self._refuse(others, reason)
+            return
+        names = names_of(others)
+        self._actions += [Unknown(proposal, f"{reason}; ask again", self._owner) for proposal in names]
+
+    def _split_accepted(
+        self, waiting: Iterable[QueuedProposal]
+    ) -> tuple[list[Accepted], list[QueuedProposal]]:
+        """Those that an accepted revision has, e.g. an earlier draft's that was asked for again; the rest."""
+        accepted: list[Accepted] = []
+        others: list[QueuedProposal] = []
+        for queued in waiting:
+            revision = self._remembered.revision_of(queued.proposal)
+            if revision is None:
+                others.append(queued)
+            else:
+                accepted.append(Accepted(queued.proposal, revision))
+        return accepted, others
 
     def _refuse(self, proposals: Iterable[QueuedProposal], reason: str) -> None:
         names = names_of(list(proposals))
--- a/tests/test_distribution_acknowledgement.py
+++ b/tests/test_distribution_acknowledgement.py
@@ -49,6 +49,7 @@
         kept.read(6.0, read(f"g{number}", 5), at(5))
     kept.read(6.0, read("new", 9), at(5))
     kept.read(7.0, read("slow", 3), at(5))
+    kept.read(7.5, read("new", 9), at(5))
     report = kept.report(8.0, at(5))
     assert report.subscribers == 23 and report.behind == 4
     assert report.counts == (Count(at(9), 1), Count(at(5), 19), Count(at(4), 2), Count(at(3), 1))
@@ -136,6 +137,8 @@
     relay.append(delta_on(relay.log, [Change("host/9", b"")]))
     later = relay.read(16.0, current, came_at=15.0)
     assert isinstance(later, ReadAnswer) and later.delta is not None and later.delta.base == at(3)
+    again = relay.read(16.0, read("g", 0))
+    assert isinstance(again, ReadAnswer) and again.delta is not None and again.delta.target == at(4)
     assert relay.report(16.0).behind == 1
 
 
@@ -200,6 +203,9 @@
         (read("g", 0, run="r" * 101), "name of 101 bytes"),
         (read("g", 0, root=b"short"), "digest of 5 bytes"),
         (read("g", 0, wait=float("nan")), "waits nan"),
+        (read("r", 0, report=Report(9, (Count(at(1), 1),) * 9)), "report of 9 revisions"),
+        (read("r", 0, report=Report(1, (Count(at(1), -1),))), "count of -1"),
+        (read("r", 0, report=Report(stragglers=(Straggler("g", at(1), 1.0, "x" * 201),))), "straggler g"),
     ):
         with pytest.raises(MessageError, match=named):
             relay.read(0.0, request)
--- a/tests/test_distribution_items.py
+++ b/tests/test_distribution_items.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from otterglade.core.distribution import items, namespaces
@@ -46,6 +46,7 @@
     return Delta(log.head, log.root, target, log.store.root_after(changes), tuple(changes))
 
 
+@settings(deadline=None)
 @given(st.lists(CHANGES, max_size=8))
 def test_the_digest_depends_on_the_items_alone_and_is_foretold(groups: list[Any]) -> None:
     store = ItemStore()
@@ -109,6 +110,7 @@
     assert store.root == root and store.get("a") == b"0" and len(store) == 1
 
 
+@settings(deadline=None)
 @given(st.lists(CHANGES, min_size=1, max_size=8), st.data())
 def test_a_coalesced_delta_leads_from_any_revision_to_the_head(groups: list[Any], data: Any) -> None:
     log = RevisionLog()
--- a/tests/test_distribution_writer.py
+++ b/tests/test_distribution_writer.py
@@ -6,7 +6,7 @@
 import pytest
 
 from otterglade.core.distribution import proposals as limits
-from otterglade.core.distribution.candidates import MOST_CANDIDATES
+from otterglade.core.distribution.candidates import MOST_CANDIDATES, Candidates
 from otterglade.core.distribution.items import EMPTY_ROOT
 from otterglade.core.distribution.log import RevisionLog
 from otterglade.core.distribution.messages import ProposeRequest, StoreAnswer, StoreRequest
@@ -90,6 +90,8 @@
         seat.work.stored(1.0, wrong)
         assert seat.work.decide(1.0, b"", b"") == b"", "one of three holds it"
     seat.work.stored(1.0, yes(request, "c"))
+    other = Head(RevisionId(3, 1), EMPTY_ROOT, GENESIS).pack()
+    assert seat.work.decide(1.0, other, b"") == other, "what stands is not what the draft was made from"
     state = seat.work.decide(1.0, b"", b"")
     assert state == head_of(request) and len(state) <= MOST_STATE
     assert seat.work.drained() == [] and seat.log.head == GENESIS, "decided is not accepted"
@@ -147,6 +149,37 @@
             assert seat.work.decide(2.0, b"", b"") == b""
 
 
+def test_a_draft_accepted_after_all_is_not_drafted_again_for_who_asked_again() -> None:
+    seat = Seat()
+    seat.obey(4, "a")
+    request = begun(seat)
+    seat.work.stored(1.0, yes(request, "a"))
+    seat.work.stored(1.0, yes(request, "b"))
+    state = seat.work.decide(1.0, b"", b"")
+    seat.work.lapsed(2.0)
+    assert [type(x) for x in seat.drained()] == [Unknown]
+    seat.obey(4, "a")
+    begun(seat, "p2")
+    assert seat.propose("p1") == [] == seat.propose("p3"), "wait for the draft with p2"
+    told = seat.obey(4, "a", state)
+    assert told[0] == Publish(request.delta)
+    assert [x.proposal for x in told if isinstance(x, Refused)] == ["p2"], "another was accepted"
+    begins = seat.work.tick(2.0)
+    assert begins[0] == Accepted("p1", RevisionId(4, 1))
+    assert isinstance(begins[1], PersistCandidate) and begins[1].request.proposals == ("p3",)
+
+
+def test_an_accepted_draft_whose_own_copy_is_gone_is_told_and_its_content_needed() -> None:
+    seat = Seat()
+    seat.obey(4, "a")
+    request = begun(seat)
+    for voter in ("b", "c"):
+        seat.work.stored(1.0, yes(request, voter))
+    seat.work._candidates = Candidates(seat.log)
+    state = seat.work.decide(1.0, b"", b"")
+    assert seat.obey(4, "a", state) == [NeedContent(Head.unpack(state)), Accepted("p1", RevisionId(4, 1))]
+
+
 def test_a_takeover_that_finds_the_last_head_accepted_tells_the_proposer_so_at_both_voters() -> None:
     old, new = Seat("a"), Seat("b")
     old.obey(4, "a")
