--- a/otterglade/node/gateway.py
+++ b/otterglade/node/gateway.py
@@ -255,13 +255,15 @@
     def noted(self, server: int, number: int | None, message: rtsp.Message) -> None:
         note = messages.note_of(message, server)
         if isinstance(note, int):
-            rung = note
             if number is not None:
-                self._event(lambda now: self.setups.rung_told(now, number, rung))
+                self.rung_told(number, note)
         elif note is not None:
             told = note
             self._event(lambda now: self.setups.note(now, told))
 
+    def rung_told(self, number: int, rung: int) -> None:
+        self._event(lambda now: self.setups.rung_told(now, number, rung))
+
     def probed(self, server: int, outcome: api.Outcome, took: float, load: api.Load | None) -> None:
         self._event(lambda now: self.setups.probed(now, server, outcome, took, load))
 
--- a/otterglade/node/hosts.py
+++ b/otterglade/node/hosts.py
@@ -44,7 +44,7 @@
 opened, on which the host can send what it could not send there."""
 CANCELLED_KEPT = 1024
 """Set-ups of one host that were given up, whose late answers are still known; releases that it is owed; ends
-that it told."""
+and rungs that it told."""
 IDLE_MARGIN = 1.0
 """Seconds before a host closes an idle connection, from which on nothing is sent there any more: what is sent
 takes its way, as does the close, each up to a quarter of a second where connections may take that to come
@@ -54,8 +54,8 @@
 """Set-ups of one connection whose ids are known after their end: a second copy of an answer comes some
 milliseconds late, and a further attempt has the same id."""
 ENDS_FOR = 30.0
-"""Seconds for which the end of a session is remembered: its hand-over may be on its way, for some seconds
-after a gateway's death. No id stands twice, so the figure only bounds memory."""
+"""Seconds for which the end of a session, or its rung, is remembered: its hand-over may be on its way, for
+some seconds after a gateway's death. No id stands twice, so the figure only bounds memory."""
 OWED_FOR = 8.0
 """Seconds for which a connection is tried only to send releases: what stands longer is over for the rules."""
 
@@ -71,6 +71,7 @@
         self, number: int, attempt: int, outcome: api.Outcome, load: api.Load | None
     ) -> None: ...
     def noted(self, server: int, number: int | None, message: rtsp.Message) -> None: ...
+    def rung_told(self, number: int, rung: int) -> None: ...
     def probed(self, server: int, outcome: api.Outcome, took: float, load: api.Load | None) -> None: ...
 
 
@@ -194,6 +195,9 @@
         self.ends: OrderedDict[bytes, tuple[float, api.Outcome]] = OrderedDict()
         """Sessions that were over here, and when: a host tells an end again on its next connection, and the
         hand-over of a session may come after its end."""
+        self.early_rungs: OrderedDict[bytes, tuple[float, int]] = OrderedDict()
+        """Rungs told of sessions that nobody knows here, and when: a host tells them as soon as a connection
+        comes up, while hand-overs are still being read."""
         self.heard_at = pool.reactor.clock()
         self.failing: float | None = None
         """Since when no connection has come up."""
@@ -309,12 +313,16 @@
         self.ensure_control()
 
     def take_over(self, session: bytes, stands: Stands) -> None:
-        """Hold a session that was set up through another gateway; its end may have been told before."""
+        """Hold a session that was set up through another gateway; its end or its rung may have been told
+        before."""
         self.hold(session, stands)
         if session in self.ends:
             del self.standing[session]
             _, outcome = self.ends[session]
             self.pool.owner.attempt_ended(stands.number, stands.attempt, outcome, None)
+        elif session in self.early_rungs:
+            _, rung = self.early_rungs.pop(session)
+            self.pool.owner.rung_told(stands.number, rung)
 
     def cut(self, session: bytes, wire: bytes | None = None) -> None:
         """End a session here, or what may be left of one. It stays held until its host tells the end."""
@@ -415,8 +423,7 @@
         elif message.method == b"TEARDOWN":
             self._released(message)
         elif message.method == b"ANNOUNCE":
-            stands = self.standing.get(message.session)
-            self.pool.owner.noted(self.number, stands.number if stands else None, message)
+            self._noted(message)
 
     def _response(self, link: Link, message: rtsp.Message) -> None:
         session, status = message.session, message.status
@@ -461,6 +468,21 @@
             # Else it is the end of one that stood under this id before, told again on a new connection.
             self._over(attempt, api.Outcome.RESET, load)
 
+    def _noted(self, message: rtsp.Message) -> None:
+        stands = self.standing.get(message.session)
+        if stands is None:
+            self._keep_early_rung(message)
+        self.pool.owner.noted(self.number, stands.number if stands else None, message)
+
+    def _keep_early_rung(self, message: rtsp.Message) -> None:
+        """A rung of a session that nobody knows here: its hand-over may still wait to be read."""
+        rung = messages.note_of(message, self.number)
+        if isinstance(rung, int) and message.session and message.session not in self.ends:
+            self.early_rungs[message.session] = self.pool.reactor.clock(), rung
+            self.early_rungs.move_to_end(message.session)
+            if len(self.early_rungs) > CANCELLED_KEPT:
+                self.early_rungs.popitem(last=False)
+
     def _note_end(self, session: bytes, outcome: api.Outcome) -> None:
         if session:
             self.ends[session] = self.pool.reactor.clock(), outcome
@@ -594,6 +616,8 @@
             self.cancelled.popitem(last=False)
         while self.ends and next(iter(self.ends.values()))[0] < now - ENDS_FOR:
             self.ends.popitem(last=False)
+        while self.early_rungs and next(iter(self.early_rungs.values()))[0] < now - ENDS_FOR:
+            self.early_rungs.popitem(last=False)
         while self.unheard and next(iter(self.unheard.values()))[1] < now - OWED_FOR:
             self.unheard.popitem(last=False)
         self._close_idle(now)
--- a/tests/platform.py
+++ b/tests/platform.py
@@ -494,6 +494,9 @@
     def noted(self, server: int, number: int | None, message: rtsp.Message) -> None:
         raise AssertionError("nobody notes anything here")
 
+    def rung_told(self, number: int, rung: int) -> None:
+        raise AssertionError("nobody tells a rung here")
+
     def probed(self, server: int, outcome: api.Outcome, took: float, load: api.Load | None) -> None:
         self.probes.append(outcome)
 
--- a/tests/test_node_crossings.py
+++ b/tests/test_node_crossings.py
@@ -17,6 +17,7 @@
 from otterglade.core import interface as api
 from otterglade.core.outcomes import Trouble
 from otterglade.node import handovers, messages
+from otterglade.node import hosts as node_hosts
 from otterglade.node.config import load
 from otterglade.node.gateway import Gateway
 from otterglade.node.hosts import LINGER, Attempt, Host, Hosts, Link, Stands
@@ -519,6 +520,76 @@
         assert not f.gateway.setups.open and not host.standing
 
 
+def rung_note(session: bytes, rung: int) -> bytes:
+    head = [(b"CSeq", b"4"), (b"Session", session), (b"X-Outcome", b"rung"), (b"Figure", b"%d" % rung)]
+    return rtsp.request(b"ANNOUNCE", messages.EXCHANGE, head)
+
+
+def host_tells(f: Front, wire: bytes) -> Host:
+    """h0 says something on its first connection, and all of it is read."""
+    host = next(iter(f.gateway.hosts.by_number.values()))
+    host.ensure_control()
+    f.until(lambda: host.control is not None and host.control.channel.up and f.media.connections)
+    last = fresh()
+    f.media.connections[0].send(wire + release(last, 16))
+    f.until(lambda: last in host.ends)
+    return host
+
+
+def rung_known(f: Front, session: bytes) -> int:
+    """The rung at which the module books a session that plays."""
+    number = f.gateway.frontend.sessions[session].number
+    return f.gateway.setups.controller.sessions[number].rung
+
+
+def test_rungs_told_before_the_hand_overs_are_those_that_count(tmp_path: Path) -> None:
+    """A host tells all rungs as its connection comes up, which the first hand-over opens; most of the others
+    still wait to be read. Lost, sessions that play high were booked at the floor while they lasted."""
+    with front(tmp_path) as f:
+        sessions = [fresh() for _ in range(20)]
+        first = b"".join(rung_note(x, 1) for x in sessions)
+        host = host_tells(f, first + b"".join(rung_note(x, 2) for x in sessions))
+        assert [f.hand_over(b"h0", x) for x in sessions] == sessions
+        f.until(lambda: len(f.gateway.setups.open) == 20)
+        assert [rung_known(f, x) for x in sessions] == [2] * 20, "the last one told"
+        assert not host.early_rungs
+        f.media.connections[0].send(rung_note(sessions[0], 1))
+        f.until(lambda: rung_known(f, sessions[0]) == 1)
+
+
+def test_a_rung_that_is_not_on_the_ladder_is_none_also_before_the_hand_over(tmp_path: Path) -> None:
+    with front(tmp_path) as f:
+        session = fresh()
+        host_tells(f, rung_note(session, 3))
+        f.hand_over(b"h0", session)
+        assert rung_known(f, session) == 0
+
+
+def test_a_rung_told_after_the_end_is_not_kept(tmp_path: Path) -> None:
+    """A session that plays no more is handed over to be ended; ever new ones would fill the memory."""
+    with front(tmp_path) as f:
+        session = fresh()
+        host = host_tells(f, release(session, 16) + rung_note(session, 2))
+        assert not host.early_rungs
+        f.viewer.set_up(session=session, attrs=AT + b"h0", deadline=b"4294967")
+        assert f.told(session).cause == 16
+
+
+def test_rungs_of_sessions_that_nobody_hands_over_are_bounded_and_forgotten(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(node_hosts, "CANCELLED_KEPT", 2)
+    with front(tmp_path) as f:
+        sessions = [fresh() for _ in range(3)]
+        kept = sessions[1:]
+        host = host_tells(f, b"".join(rung_note(x, 1) for x in sessions) + rung_note(b"", 1))
+        assert list(host.early_rungs) == kept
+        host.sweep(f.reactor.clock() + node_hosts.ENDS_FOR - 1.0)
+        assert list(host.early_rungs) == kept
+        host.sweep(f.reactor.clock() + node_hosts.ENDS_FOR + 1.0)
+        assert not host.early_rungs
+
+
 def test_a_viewer_ends_a_session_whose_hand_over_is_held_and_his_connection_does_not(tmp_path: Path) -> None:
     with front(tmp_path) as f:
         ended, kept = f.hand_over(b"h1"), f.hand_over(b"h1")
--- a/tests/test_node_hosts.py
+++ b/tests/test_node_hosts.py
@@ -37,6 +37,9 @@
     def noted(self, server: int, number: int | None, message: rtsp.Message) -> None:
         raise AssertionError("nobody tells anything here")
 
+    def rung_told(self, number: int, rung: int) -> None:
+        raise AssertionError("nobody tells a rung here")
+
     def probed(self, server: int, outcome: api.Outcome, took: float, load: api.Load | None) -> None:
         raise AssertionError("nobody is tested here")
 
