--- a/otterglade/cli/fleet.py
+++ b/otterglade/cli/fleet.py
@@ -20,6 +20,7 @@
     """`fleet N` beside `fleet status`."""
 
     def resolve_command(self, ctx: click.Context, args: list[str]) -> Any:
+        """A number stands for the command that starts so many gateways."""
         if args and args[0].isdigit():
             return super().resolve_command(ctx, ["run", *args])
         return super().resolve_command(ctx, args)
