Gateway: the host list by versioned distribution, in force once the loop has taken it

A script's block distribution(...) has a gateway read the keys host/ID from its relay in place of the registry: checked whole before it is applied, handed to the decision loop as one event, acknowledged by the next read only after the loop took it; a revision with an unreadable host is rejected whole with its reason in /status and in the relay's report; the last one is on disk, so a restart with no control machine serves. Titles and settings are left.

test_all_killed_come_back (control machines) failed 1 of 6 runs: a machine acts on a revision a little before the mark that it is accepted is on its disk, and was killed between; nothing is lost, as the candidate and the vote are durable.

--- a/benchmarks/capacity/roles/__init__.py
+++ b/benchmarks/capacity/roles/__init__.py
@@ -6,6 +6,7 @@
 from . import (
     catalogue,
     cold_hosts,
+    distribution,
     duties,
     event_streams,
     host_list,
@@ -27,6 +28,7 @@
     viewers.ROLE,
     placement.ROLE,
     registry.ROLE,
+    distribution.ROLE,
     cold_hosts.ROLE,
     recovery.ROLE,
 )
--- a/examples/gateway.star
+++ b/examples/gateway.star
@@ -31,6 +31,8 @@
 
 gateway(name = "gw-1", listen = "127.0.0.1:8080", state_dir = "state")
 registry(address = "127.0.0.1:8500")
+# In its place, hosts from control machines (docs/operations.md); needs tokens(...):
+# distribution(machines = {"r0": "10.0.0.9:7500"}, region = "east", zone = "a")
 limits(connections = 4096, drain = 10.0)
 log(level = "info", form = "json")
 
--- a/otterglade/config/schema.py
+++ b/otterglade/config/schema.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import Annotated, Literal
 
 import msgspec
@@ -21,6 +22,12 @@
 Text = Annotated[str, msgspec.Meta(min_length=1)]
 Account = Annotated[str, msgspec.Meta(pattern=r"^([A-Za-z0-9_~-]{1,100}\*?|\*)$")]
 TitlePattern = Annotated[str, msgspec.Meta(pattern=r"^([A-Za-z0-9._~-]{1,100}\*?|\*)$")]
+Place = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9._~-]{1,100}/[A-Za-z0-9._~-]{1,100}$")]
+_ENDPOINT = re.compile(r"[^\s:]+:[0-9]{1,5}|\[[0-9A-Fa-f:.]+\]:[0-9]{1,5}")
+MOST_MACHINES = 36
+"""Control machines of one fleet."""
+MOST_READ_WAIT = 3600.0
+"""Seconds that a control machine holds a read at most."""
 MOST_ROUTES = 1000
 """Rules of a region: a gateway looks through them at each new session."""
 MOST_LANES = 16
@@ -155,6 +162,33 @@
     """Seconds after a failed read until the next, at first; doubled up to ten times, each jittered."""
 
 
+class Distribution(Block, frozen=True):
+    """Control machines that the list of hosts comes from, in place of the registry; what is exchanged with
+    them is signed with the keys of the tokens block."""
+
+    machines: Annotated[dict[Name, str], msgspec.Meta(min_length=1, max_length=MOST_MACHINES)]
+    """Control machines that may be read from, by name, each with its address as host:port."""
+    region: Name
+    """Where this gateway stands: machines of its zone are read from first, then those of its region."""
+    zone: Name
+    places: dict[Name, Place] = {}
+    """Of each machine by name its REGION/ZONE; one that is not here counts as in this gateway's own."""
+    wait: Annotated[float, msgspec.Meta(gt=0, le=MOST_READ_WAIT)] = 10.0
+    """Seconds that a blocking read may be held."""
+    spacing: AtLeast0 = 2.0
+    """Seconds between a revision that was applied and the next read, so that changes coalesce."""
+
+    def __post_init__(self) -> None:
+        """Raises ValueError naming the machine."""
+        for name, text in self.machines.items():
+            if not _ENDPOINT.fullmatch(text):
+                raise ValueError(f"machines.{name}: found {text!r}; allowed: host:port")
+        for name in self.places:
+            if name not in self.machines:
+                known = ", ".join(sorted(self.machines))
+                raise ValueError(f"places: found {name!r}; allowed: names of machines, {known}")
+
+
 class Limits(Block, frozen=True):
     """What protects the gateway; each says from what."""
 
@@ -296,7 +330,9 @@
     site: Site
     contract: Contract
     gateway: Gateway
-    registry: Registry
+    registry: Registry | None = None
+    """None: hosts come from `distribution`."""
+    distribution: Distribution | None = None
     classes: tuple[SessionClass, ...]
     titles: tuple[Title, ...]
     reports: Reports
--- a/otterglade/config/script.py
+++ b/otterglade/config/script.py
@@ -24,12 +24,15 @@
     "site": schema.Site, "contract": schema.Contract, "gateway": schema.Gateway, "registry": schema.Registry,
     "reports": schema.Reports, "tokens": schema.Tokens, "limits": schema.Limits, "log": schema.Log,
     "peers": schema.Peers, "region": schema.Region,
+    "distribution": schema.Distribution,
 }  # fmt: skip
 MANY: dict[str, type[schema.Block]] = {
     "session_class": schema.SessionClass, "title": schema.Title, "priority": schema.Priority,
     "route": schema.Route, "accept": schema.Accept,
 }  # fmt: skip
-REQUIRED = ("site", "contract", "gateway", "registry", "reports")
+HOST_SOURCES = ("registry", "distribution")
+"""Blocks that say where hosts come from: a script has one of them."""
+REQUIRED = ("site", "contract", "gateway", "reports")
 
 PLACE = re.compile(r"^ *--> (.*):(\d+):\d+$", re.M)
 MESSAGE = re.compile(r"^error: (?:\w+: )?(.*)$", re.M)
@@ -87,6 +90,7 @@
             if word in self._one:
                 if word in self.one:
                     raise ConfigError(f"{word}: given twice; once is allowed")
+                self._check_alone(word)
                 self.one[word] = block(word, self._one[word], fields)
                 return
             made = block(word, self._many[word], fields)
@@ -98,6 +102,12 @@
 
         return take
 
+    def _check_alone(self, word: str) -> None:
+        """Raises ConfigError for a second block that hosts come from."""
+        others = [x for x in HOST_SOURCES if x in self.one]
+        if word in HOST_SOURCES and others:
+            raise ConfigError(f"{word}: found with {others[0]}(...); allowed: one of the two")
+
 
 def collect(text: str, file: str, one: Kinds, many: Kinds) -> Collector:
     """Run a script that may call these blocks, and give what it called. Raises ConfigError."""
@@ -131,6 +141,7 @@
     for word in REQUIRED:
         if word not in collector.one:
             raise ConfigError(f"{file}: {word}: missing; a block {word}(...) is due")
+    _check_host_source(collector, file)
     for word, what in (("session_class", "classes"), ("title", "titles")):
         if not collector.many[word]:
             raise ConfigError(f"{file}: {what}: none; at least one {word}(...) is due")
@@ -152,6 +163,12 @@
     return config
 
 
+def _check_host_source(collector: Collector, file: str) -> None:
+    """That hosts come from somewhere. Raises ConfigError."""
+    if not any(word in collector.one for word in HOST_SOURCES):
+        raise ConfigError(f"{file}: registry: missing; a block registry(...) or distribution(...) is due")
+
+
 def _placed(text: str, file: str, words: Iterable[str]) -> str:
     """Starlark's report as FILE:LINE: message."""
     message, place = MESSAGE.search(text), PLACE.search(text)
@@ -174,7 +191,8 @@
     """What no field can tell alone."""
     site, rungs = config.site, len(config.site.ladder)
     address(config.gateway.listen, "gateway.listen")
-    address(config.registry.address, "registry.address")
+    if config.registry is not None:
+        address(config.registry.address, "registry.address")
     if any(a >= b for a, b in zip(site.ladder, site.ladder[1:], strict=False)):
         raise ValueError(f"site.ladder: found {list(site.ladder)}; allowed: rates that rise")
     for title in config.titles:
@@ -195,6 +213,7 @@
                 f" ({config.limits.margin})"
             )
     token_keys(config)
+    _check_distribution(config)
     _check_peers(config)
     _check_lanes(config.lanes)
     _check_routes(config)
@@ -255,6 +274,19 @@
             raise ValueError(f"{word}.regions: found {list(regions)}; allowed: each region once")
 
 
+def _check_distribution(config: schema.Config) -> None:
+    distribution = config.distribution
+    if distribution is None:
+        return
+    if config.tokens is None:
+        raise ValueError(
+            "distribution: found no tokens(...); allowed: with keys, as what control machines say is signed"
+            " with them"
+        )
+    for name, text in distribution.machines.items():
+        address(text, f"distribution.machines.{name}")
+
+
 def _check_peers(config: schema.Config) -> None:
     peers = config.peers
     if peers is None:
@@ -307,6 +339,12 @@
     return Seal(_key_bytes(config.tokens), config.tokens.sign_with)
 
 
+def signing_keys(config: schema.Config) -> tuple[dict[str, bytes], str]:
+    """The keys by name, and the name of the one that signs. Raises ValueError naming the field."""
+    assert config.tokens is not None, "checked"
+    return _key_bytes(config.tokens), config.tokens.sign_with
+
+
 def token_keys(config: schema.Config) -> Tokens | None:
     """The keys of the script, None where it names none. Raises ValueError naming the field."""
     if config.tokens is None:
--- a/otterglade/gateway/daemon.py
+++ b/otterglade/gateway/daemon.py
@@ -11,11 +11,12 @@
 from dataclasses import replace
 from pathlib import Path
 
+from msgspec import to_builtins
 from msgspec.structs import replace as replace_struct
 
 from ..config import schema
 from ..config.schema import Config
-from ..config.script import address, peer_seal, token_keys
+from ..config.script import address, peer_seal, signing_keys, token_keys
 from ..core import carryover
 from ..core import interface as api
 from ..core import messages as d
@@ -38,6 +39,8 @@
 from ..store.ring import Ring
 from ..store.small import replace_file
 from ..wire import http1
+from .distribution.envelope import Envelope
+from .distribution.host_source import HostSource
 from .fleet import Cache, Clock, HostList, ListError, server_list
 from .front import Front, Offer
 from .hosts import HostClient
@@ -191,17 +194,39 @@
             idle=limits.idle,
             head=limits.head,
         )
-        self.registry = RegistryClient(
-            address(config.registry.address, "registry.address"),
-            name=f"{config.gateway.name}.{self.epoch}", wait=config.registry.wait,
-            retry=config.registry.retry, on_list=self._on_list, log=self.log, on_failure=self._failed,
-            seed=self._seed + 1,
-        )  # fmt: skip
+        self.registry: RegistryClient | None = None
+        if config.registry is not None:
+            self.registry = self._make_registry(config.registry)
+        self.distribution: HostSource | None = None
+        """In place of the registry."""
+        if config.distribution is not None:
+            self.distribution = self._make_distribution(config.distribution, folder)
         self._stopped, self._listed = threading.Event(), threading.Event()
         self.broken = threading.Event()
         """The decision loop has died: nothing can be decided any more."""
         self._began = time.monotonic()
 
+    def _make_registry(self, registry: schema.Registry) -> RegistryClient:
+        return RegistryClient(
+            address(registry.address, "registry.address"),
+            name=f"{self.config.gateway.name}.{self.epoch}", wait=registry.wait,
+            retry=registry.retry, on_list=self._on_list, log=self.log, on_failure=self._failed,
+            seed=self._seed + 1,
+        )  # fmt: skip
+
+    def _make_distribution(self, distribution: schema.Distribution, folder: Path) -> HostSource:
+        return HostSource(
+            distribution,
+            Envelope(*signing_keys(self.config)),
+            name=self.config.gateway.name,
+            run=self.epoch,
+            folder=folder,
+            hand_over=self._hand_over,
+            log=self.log,
+            on_failure=self._failed,
+            seed=self._seed + 1,
+        )
+
     @property
     def address(self) -> Address:
         return self.listener.address
@@ -221,15 +246,14 @@
             self.peers.start()
             self.peers.ready.wait()  # bounded by its own step
         self.loop.put(self._resume_budget)
-        try:
-            cached = self._cache.load()
-        except ListError as error:
-            cached = None
-            self.log.warning("cached_list_unusable", cause=str(error))
+        cached = self._load_list()
         if cached is not None:
             self.log.info("cached_list", index=cached.index, hosts=len(cached.hosts))
             self._tell_list(cached, cached=True)
-        self.registry.start()
+        if self.registry is not None:
+            self.registry.start()
+        if self.distribution is not None:
+            self.distribution.start()
         if not self._listed.wait(FIRST_LIST):
             self.log.warning("no_host_list", waited=FIRST_LIST)  # players are refused until there is one
         self.loop.put(self._has_list)
@@ -248,7 +272,10 @@
         self.listener.stop_accepting()
         if self.peers is not None and not self.peers.hand_over(HAND_OVER):
             self.log.warning("duties_not_handed_over", waited=HAND_OVER)
-        self.registry.stop()
+        if self.registry is not None:
+            self.registry.stop()
+        if self.distribution is not None:
+            self.distribution.stop()
         while self.front.waiting and time.monotonic() < deadline:
             time.sleep(0.01)
         left = self.front.waiting
@@ -274,6 +301,10 @@
             self.log.warning("store_not_closed")
         if self.peers is not None:
             self.peers.closed(max(1.0, deadline - time.monotonic()))
+        if self.distribution is not None and not self.distribution.closed(
+            max(1.0, deadline - time.monotonic())
+        ):
+            self.log.warning("distribution_not_closed")
         self.phase = "stopped"
         self._lock.release()
         self.log.info("stopped", unanswered=left, released=released)
@@ -311,7 +342,7 @@
 
     def status(self) -> dict[str, object]:
         """Figures for operators; counts are read without a lock and may be a moment old."""
-        last = self.registry.last
+        last = None if self.registry is None else self.registry.last
         return {
             "gateway": self.config.gateway.name,
             "epoch": self.epoch,
@@ -334,6 +365,9 @@
             "loop_lag_s": round(self.loop.lag, 4),
             "pauses": self.loop.pauses,
             "registry_age_s": None if last is None else round(time.monotonic() - last, 3),
+            **(
+                {} if self.distribution is None else {"distribution": to_builtins(self.distribution.status())}
+            ),
             **({} if self.peers is None else {"fleet": self.peers.status()}),
             **self._lanes(),
             **(
@@ -378,6 +412,21 @@
         self._failed(thread, error)
         self.broken.set()
 
+    def _load_list(self) -> HostList | None:
+        """What an earlier run acted upon; None where it left nothing that can be used."""
+        if self.distribution is not None:
+            return self.distribution.held_list
+        try:
+            return self._cache.load()
+        except ListError as error:
+            self.log.warning("cached_list_unusable", cause=str(error))
+            return None
+
+    def _hand_over(self, listed: HostList, taken: threading.Event) -> None:
+        """A list of a revision; `taken` is set once its orders were carried out."""
+        self._tell_list(listed, cached=False)
+        self.loop.put(_signal(taken))
+
     def _on_list(self, listed: HostList) -> None:
         self.log.info("host_list", index=listed.index, hosts=len(listed.hosts))
         self._tell_list(listed, cached=False)  # first: a drain does not wait for the disk
--- a/otterglade/gateway/distribution/client.py
+++ b/otterglade/gateway/distribution/client.py
@@ -67,6 +67,8 @@
         """Other machines are to be read from, since the exchange began."""
         self._failing = False
         self.failed_exchanges = 0
+        self.last_answer: float | None = None
+        """Monotonic time of the last good answer."""
 
     @property
     def bytes_in(self) -> int:
@@ -170,6 +172,7 @@
             return self._failed(action, str(error))
         finally:
             self._do_commands()
+        self.last_answer = time.monotonic()
         if self._failing:
             self._failing = False
             self._log.info("relay_back", relay=action.machine.name)
--- a/otterglade/gateway/fleet.py
+++ b/otterglade/gateway/fleet.py
@@ -56,6 +56,14 @@
     return listed
 
 
+def decode_host(data: bytes) -> Listed:
+    """Read one host's entry. Raises ListError naming the field."""
+    try:
+        return msgspec.json.decode(data, type=Listed)
+    except msgspec.MsgspecError as error:
+        raise ListError(str(error)) from error
+
+
 @dataclass(frozen=True, slots=True)
 class Clock:
     """Unix times of the registry on the monotonic clock of the gateway, by one offset for its whole life.
--- a/otterglade/lab/fleet.py
+++ b/otterglade/lab/fleet.py
@@ -144,15 +144,26 @@
 """What a person can do in a phase that lasts."""
 
 
+def _revision(distribution: Mapping[str, Any] | None) -> str:
+    """The revision in force, and the one that was rejected; empty: the registry lists the hosts."""
+    if distribution is None:
+        return ""
+    told = f"; revision {distribution['in_force']} in force"
+    rejection = distribution["rejection"]
+    return told + (f"; {rejection['revision']} rejected: {rejection['reason']}" if rejection else "")
+
+
 def line(address: str, said: Mapping[str, Any]) -> tuple[str, bool]:
     """Where a gateway stands, and whether it is in service."""
     fleet = said.get("fleet")
+    revision = _revision(said.get("distribution"))
     if fleet is None:
-        told = f"{said['gateway']} at {address}: {said['phase']}, speaks to no other gateway"
+        told = f"{said['gateway']} at {address}: {said['phase']}, speaks to no other gateway{revision}"
         return told, said["phase"] == "taking"
     away = [x for x, y in fleet["peers"].items() if y["standing"] in ("dead", "unknown")]
     told = f"{said['gateway']} at {address}: {fleet['phase']} for {fleet['since_s']:.0f} s ({fleet['start']})"
     told += f"; does not hear {', '.join(sorted(away))}" if away else "; hears all"
     told += f"; abstains: {fleet['abstains']}" if fleet["abstains"] else ""
+    told += revision
     todo = DOES.get(fleet["phase"])
     return told + (f"\n    {todo}" if todo else ""), todo is None
--- a/tests/control_fleet.py
+++ b/tests/control_fleet.py
@@ -6,10 +6,12 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import subprocess
 import sys
+import tempfile
 import threading
 import time
 from collections.abc import Callable, Iterator
@@ -22,7 +24,9 @@
 from otterglade.gateway.distribution import proposing
 from otterglade.gateway.distribution.envelope import Envelope
 from otterglade.gateway.distribution.exchange import STATUS_PATH
+from otterglade.gateway.distribution.files import RevisionFiles
 from otterglade.net.http import Client, ExchangeError
+from otterglade.obs.logs import logger
 
 BOUND_SECONDS = 20.0
 """A wait this long means that the event never comes."""
@@ -176,6 +180,20 @@
     def state(self, name: str) -> Path:
         return self.folder / f"{name}.state"
 
+    def head_on_disk(self, name: str) -> str:
+        """The head that a machine would find on its disk if it were killed now, read from a copy."""
+        with tempfile.TemporaryDirectory() as folder:
+            copy = Path(folder) / "state"
+            try:
+                shutil.copytree(self.state(name), copy)
+            except shutil.Error:
+                return ""  # a file went while it was copied
+            files, found = RevisionFiles.open(copy, logger("error"), lambda where, error: None)
+            assert files.close(BOUND_SECONDS)
+        if found.deltas:
+            return str(found.deltas[-1].target)
+        return "" if found.snapshot is None else str(found.snapshot.revision)
+
     def start(self, *names: str) -> None:
         """Start these, or all, and wait until each is ready."""
         started = [Process(x, self.config_file(x)) for x in names or self.addresses]
--- a/tests/test_control_machine.py
+++ b/tests/test_control_machine.py
@@ -203,6 +203,8 @@
     accepted(fleet.propose("setting/a", "1"))
     head = accepted(fleet.propose("title/big", "x" * 1_500_000))
     digests = fleet.all_at(head)
+    for name in fleet.addresses:  # that it is accepted is written a little after it is acted upon
+        until(lambda name=name: fleet.head_on_disk(name) == head, f"{head} on the disk of {name}")
     fleet.kill(*fleet.addresses)
     damaged = next(fleet.state("r0").glob("revisions/log-*"))
     content = bytearray(damaged.read_bytes())
