--- a/otterglade/config/schema.py
+++ b/otterglade/config/schema.py
@@ -173,7 +173,7 @@
     zone: Name
     places: dict[Name, Place] = {}
     """Of each machine by name its REGION/ZONE; one that is not here counts as in this gateway's own."""
-    wait: Annotated[float, msgspec.Meta(gt=0, le=MOST_READ_WAIT)] = 10.0
+    wait: Annotated[float, msgspec.Meta(gt=0, le=MOST_READ_WAIT)] = 3.0
     """Seconds that a blocking read may be held."""
     spacing: AtLeast0 = 2.0
     """Seconds between a revision that was applied and the next read, so that changes coalesce."""
