Explorer of distribution: writers, voters, relay, subscribers, one fault of each kind

The issue asks for an explorer on the shipped code. otterglade explore distribution plays writers that are replaced, voters, a relay and subscribers with messages lost, late and doubled, kills, stops, cuts and empty disks, and judges every state.

--- a/otterglade/cli/explore.py
+++ b/otterglade/cli/explore.py
@@ -8,7 +8,7 @@
 
 import click
 
-from . import explore_duties, explore_threads
+from . import explore_distribution, explore_duties, explore_threads
 from .exploration import Options, parse_bounds, print_found
 
 
@@ -43,7 +43,8 @@
 
     BOUNDS are NAME=NUMBER, such as hosts=3 gateways=2 kills=1; see docs/design-explore.md. A story saved
     under tests/stories/ is a regression test from then on. Where the first word is `duties`, the world is
-    that of who owns a duty, and its bounds are others. Where it is `threads`, every schedule of a few threads
+    that of who owns a duty, and its bounds are others; where it is `distribution`, that of revisions of the
+    configuration. Where it is `threads`, every schedule of a few threads
     of the daemon is played; see docs/design-interleave.md.
     """
     if bounds == ("threads",):
@@ -51,6 +52,10 @@
     if subject is not None or preemptions is not None:
         raise click.ClickException("--subject, --preemptions: allowed: with explore threads")
     options = Options(seconds, states, workers, walk, seed, save)
+    if bounds[:1] == ("distribution",):
+        if replay is not None:
+            explore_distribution.replay(replay)
+        explore_distribution.explore(bounds[1:], options)
     if bounds[:1] == ("duties",):
         if replay is not None:
             explore_duties.replay(replay)
--- /dev/null
+++ b/tests/planted_distribution.py
@@ -0,0 +1,241 @@
+"""Faults planted in the shipped code of the distribution, for the explorer to find: the story of each.
+
+    python -m tests.planted_distribution [PATTERN] [STEPS]
+
+A fault replaces words of one function, in this process alone; words that are not there any more are an error.
+"""
+
+from __future__ import annotations
+
+import inspect
+import sys
+import textwrap
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, replace
+from typing import Any
+
+from otterglade.core.distribution.acknowledgement import Acknowledgements
+from otterglade.core.distribution.candidates import Candidates
+from otterglade.core.distribution.log import RevisionLog
+from otterglade.core.distribution.relay import Relay
+from otterglade.core.distribution.subscriber import Subscriber
+from otterglade.core.distribution.transfer import Download
+from otterglade.core.distribution.writer import ConfigurationWork
+from otterglade.explore import distribution_search
+from otterglade.explore.distribution import NO_FAULTS, Scope
+from otterglade.explore.search import Found
+
+
+@dataclass(frozen=True, slots=True)
+class Edit:
+    """Words of one function, and what stands in their place."""
+
+    where: Any
+    function: str
+    old: str
+    new: str
+
+    def made(self) -> Any:
+        """The function with the fault. Raises LookupError where the words have gone."""
+        source = textwrap.dedent(inspect.getsource(getattr(self.where, self.function)))
+        if self.old not in source:
+            raise LookupError(f"{self.old!r} is not in {self.function} any more")
+        room: dict[str, Any] = {}
+        code = compile(source.replace(self.old, self.new, 1), f"<{self.function}>", "exec")
+        exec(code, vars(sys.modules[self.where.__module__]), room)
+        return room[self.function]
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One fault, the world in which it shows, and the property that breaks."""
+
+    name: str
+    edits: tuple[Edit, ...]
+    scope: Scope
+    breaks: str
+    """Empty: the explorer does not find it; `why` says for which reason."""
+    seed: int = 1
+    """Of a story that shows it soon."""
+    why: str = ""
+
+
+MANY = Scope(proposals=3, faults=4, lost=2, late=2, doubled=2, damaged=0, kills=2, replaced=2, renewed=2)
+DAMAGED = Scope(proposals=2, faults=1, damaged=1)
+UNWANTED = Scope(unwanted=1, faults=1)
+
+FAULTS = (
+    Fault(
+        "a delta's digest is not checked by its reader",
+        (Edit(Subscriber, "_check", "if root != content.root:", "if False:"),),
+        DAMAGED, "unaccepted", seed=11,
+    ),
+    Fault(
+        "a candidate's digest is not checked by its voter",
+        (Edit(Candidates, "put", "if root != delta.root:", "if False:"),),
+        replace(DAMAGED, lost=2, damaged=2, faults=4), "raises", seed=2,
+    ),
+    Fault(
+        "a part's digest is not checked",
+        (Edit(Download, "data", "if found != self.transfer.digest:", "if False:"),),
+        replace(MANY, damaged=2, kills=3, faults=5), "", why="what it decodes to is checked again",
+    ),
+    Fault(
+        "an older revision is offered and applied",
+        (
+            Edit(Subscriber, "_is_later", "if target <= self.in_force:", "if False:"),
+            Edit(Relay, "read", "if head > known:", "if head != known:"),
+        ),
+        MANY, "goes back", seed=5,
+    ),
+    Fault(
+        "an older revision is offered",
+        (Edit(Relay, "read", "if head > known:", "if head != known:"),),
+        MANY, "progress", seed=3,
+    ),
+    Fault(
+        "a revision is published before it is accepted",
+        (Edit(ConfigurationWork, "stored", "draft.stored.add(answer.voter)",
+              "draft.stored.add(answer.voter); self._promote(draft.head); return self.drained()"),),
+        Scope(), "unaccepted",
+    ),
+    Fault(
+        "a head is put to the vote before a majority holds its content",
+        (Edit(ConfigurationWork, "decide", "or not self._has_majority(draft)", ""),),
+        Scope(**NO_FAULTS | {"faults": 2, "lost": 2}), "durable", seed=2,
+    ),
+    Fault(
+        "a voter says that it holds a candidate that it did not write",
+        (Edit(ConfigurationWork, "store", "PersistCandidate(request, reply)",
+              "AnswerStore(request.writer, reply)"),),
+        Scope(), "durable",
+    ),
+    Fault(
+        "a head is put to the vote on another base",
+        (Edit(ConfigurationWork, "decide",
+              "if (standing.revision, standing.root) != (delta.base, delta.base_root):", "if False:"),
+         Edit(ConfigurationWork, "_begin", "or not self.caught_up", "")),
+        MANY, "progress", seed=2,
+    ),
+    Fault(
+        "a revision is acknowledged and not applied",
+        (Edit(Subscriber, "_take", "Apply(self.in_force, content.changes, whole=False), ", ""),),
+        Scope(), "acknowledged",
+    ),
+    Fault(
+        "a revision is acknowledged before it is transferred",
+        (Edit(Subscriber, "_begin_transfer", "self._step(Event.OFFERED)",
+              "self.in_force = answer.transfer.target; self._step(Event.OFFERED)"),),
+        MANY, "acknowledged",
+    ),
+    Fault(
+        "a rejected revision is acknowledged",
+        (
+            Edit(
+                Subscriber, "_reject",
+                "self.rejection =", "self.in_force = _target(content); self.rejection =",
+            ),
+        ),
+        UNWANTED, "acknowledged",
+    ),
+    Fault(
+        "a rejection is forgotten",
+        (Edit(Subscriber, "_reject", "self.rejection = Rejection(_target(content), cut)", "pass"),),
+        UNWANTED, "progress",
+    ),
+    Fault(
+        "candidates are dropped too early",
+        (Edit(Candidates, "drop_superseded", " if request.delta.target <= self._log.head]", "]"),),
+        MANY, "progress", seed=2,
+    ),
+    Fault(
+        "a proposer is told Refused though the vote is open",
+        (Edit(ConfigurationWork, "_give_back", "if not draft.decided:", "if True:"),),
+        MANY, "refused", seed=12,
+    ),
+    Fault(
+        "a proposer is told Refused when the vote takes long",
+        (Edit(ConfigurationWork, "_overdue", "Unknown(queued.proposal", "Refused(queued.proposal"),),
+        MANY, "refused",
+    ),
+    Fault(
+        "a proposer is told Accepted when a majority holds the content",
+        (Edit(ConfigurationWork, "stored", "draft.stored.add(answer.voter)",
+              "return [Accepted(x, delta.target) for x in draft.request.proposals]"),),
+        Scope(), "accepted",
+    ),
+    Fault(
+        "a subscriber is counted twice",
+        (Edit(Acknowledgements, "read", "if entry is not None and not _same_group(entry, request):",
+              "if False:"),),
+        Scope(), "report",
+    ),
+    Fault(
+        "all subscribers are counted on their relay's head",
+        (
+            Edit(
+                Acknowledgements, "_own_report",
+                "{revision: len(group.names) for revision, group in self._groups.items()}",
+                "{self._head: total}",
+            ),
+        ),
+        Scope(), "report",
+    ),
+    Fault(
+        "history goes on from before a snapshot",
+        (Edit(RevisionLog, "reset",
+              "self._deltas, self._bases, self._sizes, self._bytes = [], [], [], 0", "pass"),),
+        MANY, "", why="its reader finds the digest wrong and asks for a snapshot",
+    ),
+    Fault(
+        "a deposed writer goes on",
+        (Edit(ConfigurationWork, "_own_or_not", 'self._depose(f"{order.owner} is the writer now")', "pass"),),
+        MANY, "progress", seed=2,
+    ),
+)  # fmt: skip
+
+
+@contextmanager
+def planted(fault: Fault) -> Iterator[None]:
+    """It is there within."""
+    kept: list[tuple[Edit, Any]] = []
+    try:
+        for edit in fault.edits:
+            made = edit.made()
+            kept.append((edit, inspect.getattr_static(edit.where, edit.function)))
+            setattr(edit.where, edit.function, made)
+        yield
+    finally:
+        for edit, before in reversed(kept):
+            setattr(edit.where, edit.function, before)
+
+
+def first(fault: Fault, most: int) -> Found:
+    """The first story that shows it, drawn by its seed."""
+    return distribution_search.walk(fault.scope, fault.seed, most)
+
+
+def main() -> None:
+    """Look for each, and print what was found."""
+    pattern = sys.argv[1] if len(sys.argv) > 1 else ""
+    most = int(sys.argv[2]) if len(sys.argv) > 2 else 40_000
+    wrong = 0
+    for fault in (one for one in FAULTS if pattern in one.name):
+        with planted(fault):
+            found = first(fault, most)
+            story = found.story
+            if found.broken:
+                story = distribution_search.shrunk(fault.scope, story, found.broken)
+        wrong += found.broken != fault.breaks
+        departures = sum(distribution_search.is_departure(act) for act in story)
+        print(
+            f"{found.broken or 'not found':12} {fault.name}: {found.what}, after {found.steps} steps,"
+            f" {found.seconds:.1f} s; {len(story)} acts, {departures} departures; expected: {fault.breaks}",
+            flush=True,
+        )
+    sys.exit(1 if wrong else 0)
+
+
+if __name__ == "__main__":
+    main()
