--- a/otterglade/core/distribution/writer.py
+++ b/otterglade/core/distribution/writer.py
@@ -75,7 +75,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Refused:
-    """This machine has not put the proposal to a vote that is still open, and will not unless it is sent again.
+    """This machine has not put the proposal to a vote that is still open, nor will unless it is sent again.
 
     One that was sent before, to a writer that was killed after its vote, may have been accepted all the same:
     ask the writer under the same name.
