--- a/benchmarks/distribution.py
+++ b/benchmarks/distribution.py
@@ -32,6 +32,8 @@
 from otterglade.lab.hollow.proposer import Proposer
 from otterglade.net.http import Client
 
+from .common import address_of
+
 SIZES, QUICK_SIZES = (100, 200, 400, 800), (100, 200)
 CHANGES, QUICK_CHANGES = 10, 4
 SPACING_SECONDS = 3.0
@@ -90,8 +92,7 @@
 def _whole_lists(children: Children, count: int, changes: int) -> Cost:
     registry = children.start("registry", "otterglade.cli.main", "standin", "registry")
     address = json.loads(registry.wait_ready(time.monotonic() + READY_SECONDS))["address"]
-    host, _, port = address.rpartition(":")
-    client = Client((host, int(port)), 2.0)
+    client = Client(address_of(address), 2.0)
     for change in initial_changes():
         if change.key.startswith("host/"):
             put_host(client, change)
--- a/otterglade/lab/duty_world.py
+++ b/otterglade/lab/duty_world.py
@@ -16,7 +16,7 @@
 
 from ..core.fleet.actions import Send, Write
 from ..core.fleet.duty import Duties
-from ..core.fleet.duty_records import Fence
+from ..core.fleet.duty_records import Fence, decode
 from ..core.fleet.fleet import Fleet
 from ..core.fleet.members import Members
 from ..core.fleet.messages import MOST, Kind, Message, Seal
@@ -131,9 +131,7 @@
         assert order.mark >= self.highest.get(key, (0, 0)), "a mark went back"
         lasting = dict(self.duties)[order.duty]
         if lasting:
-            fences = [
-                x for x in map(read_record, place.disk) if isinstance(x, Fence) and x.duty == order.duty
-            ]
+            fences = [x for x in map(decode, place.disk) if isinstance(x, Fence) and x.duty == order.duty]
             assert any(x.mark == order.mark for x in fences), "obeyed before its mark was durable"
         self.highest[key] = order.mark
         chosen = self.accepted[order.duty, *order.mark][order.state]
@@ -277,7 +275,7 @@
                 return
             if not trouble:
                 place.disk.append(record)
-                found = read_record(record)
+                found = decode(record)
                 if isinstance(found, Record) and found.held is not None and not found.doubt:
                     self.accepted[found.duty, *found.held.mark][found.held.state].add(name)
             if self.of(name).wants_snapshot():
@@ -327,8 +325,3 @@
             if y.fleet is not None and y.stopped is None and x not in but
         ]
         return all(x is not None and (not by or x.owner == by) for x in found)
-
-
-def read_record(record: bytes) -> Record | Fence:
-    """A record of a log of duties."""
-    return msgspec.msgpack.decode(record, type=Record | Fence)
