--- /dev/null
+++ b/tests/test_node_kill.py
@@ -0,0 +1,171 @@
+"""Shutdown against a kill at the earliest time that the platform's protocol allows, with real processes.
+
+SIGKILL may come as early as the longest deadline of the deployment (counted as 3 s at most) plus 0.7 s after
+SIGTERM. Viewers go on sending on open connections until then, and a request that the kill finds unanswered is
+lost if it came more than 0.7 s after SIGTERM.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import random
+import signal
+import subprocess
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from .platform import (
+    WAIT,
+    Platform,
+    Received,
+    ViewerEnd,
+    accept,
+    new_session_id,
+    platform,
+    set_up,
+    settings,
+)  # fmt: skip
+
+MAX_COUNTED_DEADLINE = 3.0
+"""Seconds: a longer deadline counts as this one for the time of the kill."""
+KILL_AFTER_DEADLINE = 0.7
+"""Seconds from the longest deadline, counted from SIGTERM, to the earliest SIGKILL."""
+CROSSING = 0.05
+"""Seconds before the end of a connection within which a set-up on it is sent once more elsewhere."""
+VIEWERS = 6
+PAUSES = (0.01, 0.05)
+"""Range of the seconds between two set-ups on one connection."""
+SEED = 32614
+
+
+def earliest_kill(longest_deadline: float) -> float:
+    """Seconds from SIGTERM to the earliest SIGKILL."""
+    return min(longest_deadline, MAX_COUNTED_DEADLINE) + KILL_AFTER_DEADLINE
+
+
+def classes_with_deadline(seconds: float) -> list[dict[str, Any]]:
+    """The classes of the test site with another longest deadline, and goals within it."""
+    classes = settings()["classes"]
+    return [x | {"hard_limit": seconds * 1000.0, "goal_time": min(600.0, seconds * 500.0)} for x in classes]
+
+
+def hang_half(received: Received) -> None:
+    """A host at which every second set-up hangs."""
+    if received.message.method != b"SETUP" or int(received.message.session, 16) % 2:
+        accept(received)
+
+
+@dataclass(frozen=True)
+class Request:
+    """A set-up whose last byte was written, in seconds from SIGTERM."""
+
+    session: bytes
+    sent_at: float
+    viewer: ViewerEnd
+
+
+class InsistentViewer:
+    """Sends set-ups on an open connection until the kill, and connects again after a close."""
+
+    def __init__(self, p: Platform, seed: int, deadline: float) -> None:
+        self._platform, self._deadline = p, b"%d" % (deadline * 1000.0)
+        self._random = random.Random(seed)
+        self._viewer = p.viewer()
+        self.requests: list[Request] = []
+        self.ended_at: dict[ViewerEnd, float] = {}
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def start(self, terminated_at: float) -> None:
+        self._terminated_at = terminated_at
+        self._watch(self._viewer)
+        self._thread.start()
+
+    def _watch(self, viewer: ViewerEnd) -> None:
+        def note_end() -> None:
+            viewer.connection.ended.wait()
+            self.ended_at[viewer] = time.time() - self._terminated_at
+
+        threading.Thread(target=note_end, daemon=True).start()
+
+    def _run(self) -> None:
+        while not self._stopped.wait(self._random.uniform(*PAUSES)):
+            if self._viewer.connection.ended.is_set():
+                try:
+                    self._viewer = self._platform.viewer()
+                except OSError:
+                    return  # the process takes no connections any more
+                self._watch(self._viewer)
+            session, class_no = new_session_id(), self._random.choice((b"free", b"paid"))
+            with contextlib.suppress(OSError):
+                self._viewer.connection.sock.sendall(set_up(session, class_no, deadline=self._deadline))
+                self.requests.append(Request(session, time.time() - self._terminated_at, self._viewer))
+
+    def stop(self) -> None:
+        self._stopped.set()
+        self._thread.join(WAIT)
+
+    def lost(self) -> list[Request]:
+        """The set-ups without an answer, but for those that crossed the close of their connection."""
+        return [
+            x
+            for x in self.requests
+            if not x.viewer.messages_for(x.session) and x.sent_at < self.ended_at[x.viewer] - CROSSING
+        ]
+
+
+@dataclass(frozen=True)
+class Shutdown:
+    """What a shutdown under load came to."""
+
+    sent: int
+    lost: list[str]
+    doubled: int
+    ended_after: float | None
+    """Seconds from SIGTERM until the process ended by itself; None: SIGKILL ended it."""
+
+
+def shut_down_under_load(
+    p: Platform, longest_deadline: float, during: Callable[[Platform], None] = lambda p: None
+) -> Shutdown:
+    """Send SIGTERM, and SIGKILL at the earliest time. `during` is called right after SIGTERM."""
+    viewers = [InsistentViewer(p, SEED + index, longest_deadline) for index in range(VIEWERS)]
+    p.signal(signal.SIGTERM)
+    terminated_at = time.time()
+    for viewer in viewers:
+        viewer.start(terminated_at)
+    during(p)
+    assert p.process is not None
+    ended_after = None
+    with contextlib.suppress(subprocess.TimeoutExpired):
+        assert p.process.wait(max(0.0, terminated_at + earliest_kill(longest_deadline) - time.time())) == 0
+        ended_after = time.time() - terminated_at
+    p.kill()
+    for viewer in viewers:
+        viewer.stop()
+        for request in viewer.requests:
+            assert request.viewer.connection.ended.wait(WAIT)
+    time.sleep(0.05)  # the threads that note the ends
+    requests = [x for viewer in viewers for x in viewer.requests]
+    lost = sorted(f"{x.sent_at:.3f} {x.session.decode()}" for v in viewers for x in v.lost())
+    doubled = sum(len(x.viewer.messages_for(x.session)) > 1 for x in requests)
+    return Shutdown(len(requests), lost, doubled, ended_after)
+
+
+@pytest.mark.parametrize("longest_deadline", [0.6, 1.2, 3.0, 5.0])
+def test_requests_after_sigterm_are_answered_before_the_earliest_kill(
+    tmp_path: Path, longest_deadline: float
+) -> None:
+    """Half of the set-ups hang at their host."""
+    given = classes_with_deadline(longest_deadline)
+    with platform(tmp_path, hosts=4, respond=hang_half, classes=given) as p:
+        found = shut_down_under_load(p, longest_deadline)
+        print(found, p.log(), sep="\n")
+        assert not found.lost, f"{len(found.lost)} of {found.sent} lost"
+        assert found.ended_after is not None, "the kill found the process still running"
