Test gateways listen on an address of their own process

Seen: twice in eight parallel runs of three test files, a gateway of a test could not listen (address in use; once told as a refused connection). Cause: the port is found free, closed and bound again by the gateway; in between an outgoing connection of another test process may get it, as all use 127.0.0.1. Change: gateways of tests listen on a loopback address made from the test's process id, which outgoing connections never use; ends of test connections keep their time, for the tests that follow.

--- a/tests/platform.py
+++ b/tests/platform.py
@@ -6,6 +6,7 @@
 import contextlib
 import heapq
 import json
+import math
 import os
 import queue
 import signal
@@ -83,6 +84,8 @@
         self.ended = threading.Event()
         self.broken = False
         """Whether it ended by a reset or by a local close, and not by the peer's close."""
+        self.ended_at = math.inf
+        """When it ended (Unix seconds)."""
         self.raw = bytearray()
         with contextlib.suppress(OSError):  # it may be reset already
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -98,6 +101,7 @@
                     self._on_message(Received(message, self, time.time()))
         except OSError:
             self.broken = True  # a reset also ends it
+        self.ended_at = time.time()
         self.ended.set()
 
     def send(self, data: bytes) -> None:
@@ -427,7 +431,7 @@
         new.replace(self.path)
 
     def configure(self) -> None:
-        with socket.create_server(("127.0.0.1", 0)) as free:
+        with socket.create_server((own_loopback_address(), 0)) as free:
             self.address = free.getsockname()
         self.path.write_text(json.dumps(self.config()))
 
@@ -463,6 +467,13 @@
         self.names.close()
 
 
+def own_loopback_address() -> str:
+    """A loopback address of this test process alone: a port that was free a moment ago is not taken by an
+    outgoing connection, which comes from 127.0.0.1."""
+    process_id = os.getpid()
+    return f"127.{1 + process_id // 65536 % 250}.{process_id // 256 % 256}.{process_id % 256}"
+
+
 def start_process(path: Path, log: Path, descriptors: int | None = None) -> subprocess.Popen[bytes]:
     command = [sys.executable, "-m", "otterglade.node"]
     if descriptors is not None:
