A stopping gateway answers by a time counted back from the earliest SIGKILL

Cause: answers were due by the viewer's patience alone. The exit waited for open set-ups however long (_has_pending_work), set-ups were accepted until 1.5 s after SIGTERM (REFUSE_AFTER_SECONDS), and no decision knew when the kill may come: min(longest deadline, 3 s) + 0.7 s. The times count from the arrival of the signal, also during the start. Why it works: every answer is out 0.25 s before the end of the loop, and that 0.2 s before the kill.

--- a/otterglade/core/policy.py
+++ b/otterglade/core/policy.py
@@ -52,6 +52,8 @@
         self.step_worths: dict[tuple[int, int], float] = {}  # cache of `_step_worth` by class and rung
         self.mean_link_use = 0.0
         self.started_at = self.now = 0.0
+        self.answers_due_by = math.inf
+        """When every answer is due at the latest, whatever the viewer's patience."""
         self.actions: list[api.Action] = []
 
     def start(self, now: float) -> list[api.Action]:
@@ -61,6 +63,10 @@
         self._schedule_tick(self.settings.note_delay * self.random.random())
         return self.actions
 
+    def limit_answers(self, due_by: float) -> None:
+        """Choose every answer by `due_by` (seconds of the clock), as the process ends soon after it."""
+        self.answers_due_by = due_by
+
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
         """Handle one event at `now`, in seconds that never decrease; returns the actions to carry out."""
         self.now, self.actions = now, []
@@ -110,22 +116,39 @@
         session = Session(request, self.settings.classes[request.class_no], self.now)
         self.sessions[request.session] = session
         self.requests_taken.add(self.now, 1.0)
-        if not self._probe_holders(session):
+        if not self._can_end_in_time(session):
+            self._reject(session)
+        elif not self._probe_holders(session):
             self._place(session)
 
     def _place(self, session: Session) -> None:
         """Send a session to a holder, let it wait for a slot at a cold one, or reject it."""
-        if not self._has_free_seat(session) or not self._budget_allows(session):
+        if (
+            not self._can_end_in_time(session)
+            or not self._has_free_seat(session)
+            or not self._budget_allows(session)
+        ):
             self._reject(session)
             return
         server, wait = self._choose(session)
         if server is not None and not any(self._is_starved(x) for x in (server.link, server.uplink)):
             self._start_attempt(session, server)
-        elif server is None and self.now + wait < session.requested_at + session.terms.goal / 2:
+        elif server is None and self._can_wait(session, wait):
             self._wait(session, wait)
         else:
             self._reject(session, wait)
 
+    def _can_wait(self, session: Session, wait: float) -> bool:
+        """Whether a set-up may start so late: within half of its goal, and with time for its answer."""
+        within_goal = self.now + wait < session.requested_at + session.terms.goal / 2
+        return within_goal and self._can_end_in_time(session, wait)
+
+    def _can_end_in_time(self, session: Session, wait: float = 0.0) -> bool:
+        """Whether an attempt that starts after `wait` seconds has the usual time before all answers are
+        due: one that is cut off has run for nothing."""
+        usual_time = min(session.terms.goal, session.request.patience) / ATTEMPTS_WITHIN_GOAL
+        return self.now + wait + usual_time <= self.answers_due_by
+
     def _is_starved(self, use: LinkUse) -> bool:
         """Whether it is over capacity and no own session can step down; wrong if readings are stale."""
         return use.estimate(0.0) > 1.0 / SHORT_DELIVERY and self._session_to_step_down(use) is None
--- a/otterglade/core/setups.py
+++ b/otterglade/core/setups.py
@@ -14,6 +14,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
@@ -198,6 +199,8 @@
         self.setups_by_number: dict[int, Setup] = {}
         self.host_numbers: dict[str, int] = {}
         self._next_host_number = 0
+        self._answers_due_by = math.inf
+        """When every answer is due at the latest, whatever the viewer's patience; set by a shutdown."""
         self._entries: dict[int, api.ServerEntry] = {}
         self._last_number = 0
         self._timers: list[tuple[float, int, int, int]] = []
@@ -237,6 +240,18 @@
         self.host_numbers = {name: n for name, n in self.host_numbers.items() if n in known or n in current}
         return orders
 
+    # Shutdown
+
+    def begin_shutdown(self, now: float, answers_due_by: float) -> list[Order]:
+        """Answer every request, those that are open included, by `answers_due_by` (seconds of the clock)."""
+        self._answers_due_by = answers_due_by
+        self.controller.limit_answers(answers_due_by)
+        for number, setup in self.setups_by_number.items():
+            if not setup.answered and setup.answer_due_at > answers_due_by:
+                setup.answer_due_at = answers_due_by
+                self._set_timer(answers_due_by, number, -1)
+        return self._take_orders()
+
     # Requests
 
     def start(self, now: float) -> list[Order]:
@@ -249,10 +264,11 @@
         self._last_number += 1
         number, patience = self._last_number, terms.patience
         reserved = self.margin.reserved_seconds(now, ANSWER_MARGIN_SECONDS, patience)
-        setup = Setup(now + max(0.0, patience - reserved))
+        patience = max(0.0, patience - reserved)
+        setup = Setup(min(now + patience, self._answers_due_by))
         self.setups_by_number[number] = setup
         self._set_timer(setup.answer_due_at, number, -1)
-        request = replace(terms, session=number, patience=setup.answer_due_at - now)
+        request = replace(terms, session=number, patience=patience)
         return number, self._handle_event(now, request)
 
     def add_handed_over(self, now: float, terms: api.SessionRequest, host: int) -> tuple[int, list[Order]]:
@@ -379,9 +395,11 @@
         if setup.state is SetupState.IN_FLIGHT:
             self._cancel_attempt(number, setup, late=True)
             return
-        # The controller lets a request wait for part of its goal only; this covers a lost timer of its own.
+        # The controller lets a request wait for part of its goal only; this covers a lost timer of its own,
+        # and a wait that a shutdown cuts short.
         self._orders.append(LogLine(f"request {number}: no answer was chosen in time"))
-        self._answer(number, Fail(number))
+        never_ran = setup.attempts == 0
+        self._answer(number, Refuse(number, self.settings.note_delay) if never_ran else Fail(number))
         self._events.append(api.SessionGone(number))
 
     def _handle_attempt_timeout(self, now: float, number: int, attempt: int) -> None:
--- a/otterglade/node/__main__.py
+++ b/otterglade/node/__main__.py
@@ -4,18 +4,27 @@
 
 import signal
 import socket
+import time
+from types import FrameType
 
 # Installed first: a signal that arrives during the other imports would end the process.
 _wakeup, _signalled = socket.socketpair()
 _wakeup.setblocking(False)
 _signalled.setblocking(False)
 signal.set_wakeup_fd(_signalled.fileno(), warn_on_full_buffer=False)
+_received_at: dict[int, float] = {}
+"""When each signal first arrived (Unix seconds): the time of the kill counts from there."""
+
+
+def _note_signal(number: int, frame: FrameType | None) -> None:
+    _received_at.setdefault(number, time.time())
+
+
 for _number in (signal.SIGTERM, signal.SIGHUP):
-    signal.signal(_number, lambda number, frame: None)
+    signal.signal(_number, _note_signal)
 
 import os  # noqa: E402
 import sys  # noqa: E402
-import time  # noqa: E402
 
 
 def main() -> int:
@@ -44,7 +53,7 @@
     except OSError as error:
         print(f"otterglade: listen {config.listen[0]}:{config.listen[1]}: {error}", file=sys.stderr)
         return 1
-    gateway.watch_signals(_wakeup)
+    gateway.watch_signals(_wakeup, _received_at)
     reactor.run()
     # The interpreter restores default handlers as it exits: another SIGTERM would end it with status -15.
     for number in (signal.SIGTERM, signal.SIGHUP):
--- a/otterglade/node/config.py
+++ b/otterglade/node/config.py
@@ -54,6 +54,8 @@
     sockets: int
     """Maximum of descriptors that the process may use."""
     settings: api.Settings
+    longest_deadline: float
+    """Longest deadline of a class in seconds."""
     classes: tuple[str, ...]
     zones: tuple[str, ...]
     kinds: tuple[str, ...]
@@ -101,6 +103,7 @@
     if not isinstance(value, dict):
         raise ConfigError("configuration: no object")
     settings, (classes, zones, kinds) = _parse_settings(_object(value, "settings"))
+    longest_deadline = _longest_deadline(JsonValues(_object(value, "settings")), settings)
     limits = {} if value.get("limits") is None else _object(value, "limits")
     sockets = limits.get("sockets", DEFAULT_SOCKETS)
     serial, hosts = _parse_known_hosts(_object(value, "known"))
@@ -114,6 +117,7 @@
         seed=int(seed, 16),
         sockets=_integer(sockets, "limits.sockets", MIN_SOCKETS, MAX_NUMBER),
         settings=settings,
+        longest_deadline=longest_deadline,
         classes=classes,
         zones=zones,
         kinds=kinds,
@@ -143,6 +147,19 @@
     return settings, (classes, zones, kinds)
 
 
+def _longest_deadline(tree: JsonValues, settings: api.Settings) -> float:
+    """Longest deadline of a class in seconds. Raises ConfigError.
+
+    A class without a deadline counts with its goal: a deadline is no shorter, and a process that expects the
+    kill too early loses nothing.
+    """
+    try:
+        deadlines = [tree.seconds(f"classes.{index}.hard_limit") for index in range(len(settings.classes))]
+    except ValueError as error:
+        raise ConfigError(f"settings.{error}") from None
+    return max(found or terms.goal for found, terms in zip(deadlines, settings.classes, strict=True))
+
+
 def _object(value: dict[str, Any], field: str) -> dict[str, Any]:
     found = value.get(field)
     if not isinstance(found, dict):
--- a/otterglade/node/frontend.py
+++ b/otterglade/node/frontend.py
@@ -47,6 +47,8 @@
 others out."""
 DESCRIPTOR_HEADROOM = 12
 """Descriptors freed when none is left, so that connections to hosts remain possible."""
+PARTIAL_REQUEST_SECONDS = 1.0
+"""Seconds since its last byte for which a shutdown waits for the rest of a request."""
 PENDING_RELEASE_SECONDS = 8.0
 """Seconds for which a release is kept when no viewer's connection is open for it."""
 
@@ -244,6 +246,17 @@
             self.listener.close()
         return self.listener.closed
 
+    def finish_settled(self) -> None:
+        """Shut down each connection on which nothing is pending, unread or unsent, and no request is being
+        written. A set-up that crosses the close is sent once more by its viewer."""
+        now = self.reactor.clock()
+        for viewer in list(self.viewers):
+            if not (viewer.pending or viewer.channel.unsent_bytes or viewer.channel.has_unread_input()):
+                partial = viewer.reader.buffered_bytes > 0
+                if not partial or now - viewer.last_activity_at > PARTIAL_REQUEST_SECONDS:
+                    viewer.channel.finish()
+                    self.viewer_disconnected(viewer)
+
     def finish(self) -> None:
         """Shut every connection for writing after the data already queued. Input is read and discarded until
         the channel is closed: unread bytes would reset the connection and discard the data sent."""
--- a/otterglade/node/hosts.py
+++ b/otterglade/node/hosts.py
@@ -39,6 +39,8 @@
 """Seconds between two connection attempts to a failing host."""
 LATE_ANSWER_SECONDS = 1.0
 """Seconds for which a late answer to a cancelled set-up is expected, to release the session it reports."""
+CROSSING_SECONDS = 0.25
+"""Seconds that a message and the answer that crosses it may be on their way."""
 PARTIAL_MESSAGE_SECONDS = 0.25
 """Seconds to wait for the rest of a partial message. A message that is shorter than its length says would
 swallow what follows it: releases of other sessions would be read as part of its body."""
@@ -446,6 +448,15 @@
         """Whether another host has this address now, so that connections would not reach this one."""
         return self.is_unlisted and self.pool.is_address_reused(self)
 
+    def has_unsettled_sessions(self, now: float) -> bool:
+        """As in `HostPool.has_unsettled_sessions`."""
+        cancelled = next(reversed(self.cancelled.values()), -math.inf)
+        deferred = max(self.pending_releases.values(), default=-math.inf)
+        return (
+            now - cancelled < CROSSING_SECONDS
+            or now - deferred < self.pool.connect_timeout + CROSSING_SECONDS
+        )
+
     # Load probes
 
     def probe(self) -> None:
@@ -788,6 +799,11 @@
         """Whether the limit allows another connection."""
         return self.link_count() < self._max_links
 
+    def has_unsettled_sessions(self, now: float) -> bool:
+        """Whether a host may still accept a cancelled set-up, or a release waits for a connection that may
+        come up. What takes longer is left to the host, which ends the set-ups of a closed connection."""
+        return any(x.has_unsettled_sessions(now) for x in self.by_number.values())
+
     def is_address_reused(self, host: Host) -> bool:
         """Whether the current list gives the host's address to another host."""
         return self._number_by_address.get(host.address, host.number) != host.number
