Tests: nothing that peers do delays the exit beyond the earliest kill

Change: real processes, deadlines of 0.6 and 3 s, half of the set-ups hang, viewers send until the kill, and beside it one of: a viewer that never reads, a request written a byte each 0.2 s, a release owed to an unreachable host, a hand-over at an unlisted host with a silent name service, a pending reload, a flood of OPTIONS requests, repeated SIGTERM and SIGHUP; and SIGTERM before the first list.

--- a/tests/platform.py
+++ b/tests/platform.py
@@ -9,6 +9,7 @@
 import math
 import os
 import queue
+import re
 import signal
 import socket
 import struct
@@ -485,6 +486,18 @@
         )  # fmt: skip
 
 
+def wait_for_signal_handlers(process: subprocess.Popen[bytes]) -> None:
+    """Wait until the process has a handler for SIGTERM, before its other modules are loaded."""
+    bit = 1 << (signal.SIGTERM - 1)
+    status = Path(f"/proc/{process.pid}/status")
+    until = time.time() + WAIT
+    while True:
+        caught = re.search(r"SigCgt:\s*(\w+)", status.read_text())
+        assert caught is not None and time.time() < until and process.poll() is None
+        if int(caught[1], 16) & bit:
+            return
+
+
 def ping(session: bytes) -> bytes:
     return rtsp.request(b"OPTIONS", b"rtsp://media/ping", [(b"CSeq", b"3"), (b"Session", session)])
 
--- a/tests/test_node_kill.py
+++ b/tests/test_node_kill.py
@@ -10,6 +10,7 @@
 import contextlib
 import random
 import signal
+import socket
 import subprocess
 import threading
 import time
@@ -20,6 +21,8 @@
 
 import pytest
 
+from otterglade.wire import rtsp
+
 from .platform import (
     WAIT,
     Platform,
@@ -27,9 +30,12 @@
     ViewerEnd,
     accept,
     new_session_id,
+    ping,
     platform,
     set_up,
     settings,
+    start_process,
+    wait_for_signal_handlers,
 )  # fmt: skip
 
 MAX_COUNTED_DEADLINE = 3.0
@@ -49,6 +55,10 @@
     return min(longest_deadline, MAX_COUNTED_DEADLINE) + KILL_AFTER_DEADLINE
 
 
+def teardown(session: bytes) -> bytes:
+    return rtsp.request(b"TEARDOWN", b"rtsp://media/exchange", [(b"CSeq", b"2"), (b"Session", session)])
+
+
 def classes_with_deadline(seconds: float) -> list[dict[str, Any]]:
     """The classes of the test site with another longest deadline, and goals within it."""
     classes = settings()["classes"]
@@ -158,3 +168,123 @@
         print(found, p.log(), sep="\n")
         assert not found.lost, f"{len(found.lost)} of {found.sent} lost"
         assert found.ended_after is not None, "the kill found the process still running"
+
+
+# What else may delay the exit
+
+
+def never_read(p: Platform) -> None:
+    """A viewer whose answers fill the buffers, as it reads nothing."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    sock.connect(p.address)
+    for _ in range(400):
+        sock.sendall(ping(new_session_id()) * 100)
+    KEPT.append(sock)
+
+
+def write_half_a_request_slowly(p: Platform) -> None:
+    wire = set_up(new_session_id())
+    viewer = p.viewer()
+
+    def write() -> None:
+        for index in range(len(wire) - 1):
+            viewer.connection.send(wire[index : index + 1])
+            time.sleep(0.2)
+
+    threading.Thread(target=write, daemon=True).start()
+
+
+def owe_a_release_to_an_unreachable_host(p: Platform) -> None:
+    viewer, session = p.viewer(), new_session_id()
+    while int(session, 16) % 2 == 0:
+        session = new_session_id()
+    viewer.set_up(session=session)
+    assert viewer.wait(session).status == 200
+    for host in p.hosts.values():
+        if any(x.message.session == session for x in list(host.received)):
+            host.become_unreachable()
+            for connection in host.connections:
+                connection.reset()
+    viewer.connection.send(teardown(session))
+
+
+def hand_over_at_an_unlisted_host(p: Platform) -> None:
+    viewer, session = p.viewer(), new_session_id()
+    p.names.transform = lambda query, answer: None
+    viewer.connection.send(
+        set_up(session, attrs=b"home:0;copies:3;top:2;viewer:0000000000000001;at:unlisted")
+    )
+    viewer.connection.send(teardown(session))
+
+
+def reload_of_a_missing_file(p: Platform) -> None:
+    p.path.unlink()
+    p.signal(signal.SIGHUP)
+
+
+def repeat_signals(p: Platform) -> None:
+    for _ in range(3):
+        p.signal(signal.SIGTERM)
+        p.signal(signal.SIGHUP)
+
+
+def flood(p: Platform) -> None:
+    """OPTIONS requests at full speed on one connection: some are always unread."""
+    viewer, requests = p.viewer(), ping(new_session_id()) * 200
+
+    def send() -> None:
+        while not viewer.connection.ended.is_set():
+            viewer.connection.send(requests)
+
+    threading.Thread(target=send, daemon=True).start()
+
+
+KEPT: list[socket.socket] = []
+"""Sockets that stay open until the tests end."""
+BEFORE_SIGTERM = (
+    never_read,
+    write_half_a_request_slowly,
+    owe_a_release_to_an_unreachable_host,
+    hand_over_at_an_unlisted_host,
+    reload_of_a_missing_file,
+    flood,
+)
+
+
+@pytest.mark.parametrize("longest_deadline", [0.6, 3.0])
+@pytest.mark.parametrize("delay", [*BEFORE_SIGTERM, repeat_signals], ids=lambda x: x.__name__)
+def test_nothing_delays_the_exit_beyond_the_earliest_kill(
+    tmp_path: Path, delay: Callable[[Platform], None], longest_deadline: float
+) -> None:
+    given = classes_with_deadline(longest_deadline)
+    with platform(tmp_path, hosts=4, respond=hang_half, classes=given) as p:
+        if delay in BEFORE_SIGTERM:
+            delay(p)
+        during = delay if delay not in BEFORE_SIGTERM else lambda p: None
+        found = shut_down_under_load(p, longest_deadline, during)
+        print(found, p.log(), sep="\n")
+        assert not found.lost, f"{len(found.lost)} of {found.sent} lost"
+        assert found.ended_after is not None, "the kill found the process still running"
+
+
+def test_sigterm_before_the_first_list_ends_in_time(tmp_path: Path) -> None:
+    """The first SIGTERM arrives while the process starts."""
+    found = Platform(tmp_path, given=settings(classes=classes_with_deadline(1.2)))
+    try:
+        found.add("h0", hang_half)
+        found.names.transform = lambda query, answer: None
+        found.configure()
+        found.process = start_process(found.path, tmp_path / "log")
+        wait_for_signal_handlers(found.process)
+        found.signal(signal.SIGTERM)
+        terminated_at = time.time()
+        found.wait_until_ready()
+        viewer = found.viewer()
+        sessions = [viewer.set_up(deadline=b"1200") for _ in range(8)]
+        assert found.process.wait(WAIT) == 0
+        assert time.time() - terminated_at < earliest_kill(1.2)
+        assert viewer.connection.ended.wait(WAIT)
+        assert [len(viewer.messages_for(x)) for x in sessions] == [1] * len(sessions)
+    finally:
+        found.close()
--- a/tests/test_node_stop.py
+++ b/tests/test_node_stop.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import re
 import signal
 import socket
 import subprocess
@@ -32,6 +31,7 @@
     settings,
     start_process,
     stepped,
+    wait_for_signal_handlers,
 )  # fmt: skip
 
 EXIT_DELAY = 0.05
@@ -216,18 +216,6 @@
 # Signals to a real process
 
 
-def wait_for_signal_handlers(process: subprocess.Popen[bytes]) -> None:
-    """Wait until the process has a handler for SIGTERM, before its other modules are loaded."""
-    bit = 1 << (signal.SIGTERM - 1)
-    status = Path(f"/proc/{process.pid}/status")
-    until = time.time() + WAIT
-    while True:
-        caught = re.search(r"SigCgt:\s*(\w+)", status.read_text())
-        assert caught is not None and time.time() < until and process.poll() is None
-        if int(caught[1], 16) & bit:
-            return
-
-
 @pytest.mark.parametrize("hangups", [0, 3])
 def test_sigterm_during_the_start_exits_with_zero_after_answering_requests(
     tmp_path: Path, hangups: int
