A release is sent on another connection if the close of the viewer's own is unread

Cause: send_to_viewer and _shared_connection asked whether the channel is closed here, not whether its peer has closed it; between the two lies one iteration. Change: Channel.peer_closed asks the kernel (POLLRDHUP) before a release is sent; without another connection the release is kept for one, as before.

--- a/otterglade/net/reactor.py
+++ b/otterglade/net/reactor.py
@@ -271,9 +271,12 @@
             return b"", False
         except OSError:
             return b"", True
-        return data, not data or self._peer_closed()
+        return data, not data or self.peer_closed()
 
-    def _peer_closed(self) -> bool:
+    def peer_closed(self) -> bool:
+        """Whether the connection has ended, even if unread bytes are still ahead of its end."""
+        if self.closed:
+            return True
         poll = select.poll()
         poll.register(self._sock, select.POLLRDHUP)  # errors and hang-ups are always reported
         try:
--- a/otterglade/node/frontend.py
+++ b/otterglade/node/frontend.py
@@ -301,9 +301,9 @@
 
     def _shared_connection(self, shutting_down: bool = False) -> ViewerConnection | None:
         """A connection for messages without one of their own: one in use, in the shutdown (`shutting_down`)
-        also one that only sent a set-up."""
+        also one that only sent a set-up. Not one that its viewer has closed, even if that is unread."""
         active = (x for x in self.viewers if x.was_used or (shutting_down and x.last_setup_at))
-        return next((x for x in active if not x.channel.closed), None)
+        return next((x for x in active if not x.channel.peer_closed()), None)
 
     def _send_pending_releases(self, shutting_down: bool = False) -> None:
         """Send the pending releases if a connection is open for them, and drop those that have expired."""
@@ -438,7 +438,7 @@
     def send_to_viewer(self, client: ClientSession, message: bytes) -> None:
         """Send a release or a redirect on the session's own connection, else on any in use, else later."""
         viewer = client.viewer
-        if viewer is None or viewer.channel.closed:
+        if viewer is None or viewer.channel.peer_closed():  # what is sent on a closing one is lost
             viewer = self._shared_connection()
         if viewer is not None:
             self._note_activity(viewer)
--- a/tests/test_node_gone.py
+++ b/tests/test_node_gone.py
@@ -217,6 +217,14 @@
 }
 
 
+def close_unread(sock: socket.socket, viewer: ViewerConnection) -> None:
+    """Close a viewer's end and wait until the gateway's kernel knows, before the event loop runs again."""
+    sock.close()
+    poll = select.poll()
+    poll.register(viewer.channel._sock, select.POLLRDHUP)
+    assert poll.poll(WAIT * 1000.0)
+
+
 @pytest.fixture(name="stepped")
 def fixture_stepped(tmp_path: Path, request: pytest.FixtureRequest) -> Iterator[FrozenClockGateway]:
     found = FrozenClockGateway(tmp_path, **getattr(request, "param", {}))
@@ -293,10 +301,7 @@
         client.sendall(set_up(session))
         s.run_until(lambda own=connection, session=session: session in own.established)  # type: ignore[misc]
     # The last iteration read the host's connection, so epoll still lists it and no viewer's.
-    sock.close()
-    poll = select.poll()
-    poll.register(viewer.channel._sock, select.POLLRDHUP)
-    assert poll.poll(WAIT * 1000.0)
+    close_unread(sock, viewer)
     s.received(b"SETUP")[0].connection.send(teardown(sessions[0]))
     wait_for_host_input(s)
     s.run_until(lambda: sessions[0] not in s.gateway.frontend.sessions)
