A success whose viewer's close is unread is released at its host

A host's success that is handled before the close of the viewer's connection was confirmed on the closing connection: nobody got it, and the session stood at its host until its own end. Cause: confirm_session asked only whether the channel is closed here. Change: it asks peer_closed; the gateway then ends the session at the host, as for any viewer that left.

--- a/otterglade/node/frontend.py
+++ b/otterglade/node/frontend.py
@@ -410,7 +410,7 @@
     def confirm_session(self, client: ClientSession, description: bytes) -> bool:
         """Answer a set-up with the host's description; False: the viewer's connection is gone."""
         viewer = client.viewer
-        if viewer is None or viewer.channel.closed:
+        if viewer is None or viewer.channel.peer_closed():
             return False
         client.is_pending = False
         viewer.pending.pop(client.session, None)
--- a/tests/test_node_gone.py
+++ b/tests/test_node_gone.py
@@ -312,6 +312,27 @@
     assert methods == [b"TEARDOWN"]
 
 
+@pytest.mark.parametrize("stepped", [{"hosts": 1}], indirect=True)
+def test_session_is_released_at_its_host_if_the_close_of_its_viewer_is_unread(
+    stepped: FrozenClockGateway,
+) -> None:
+    """The viewer closes while its set-up is out, but epoll reports the host's success first."""
+    s, session = stepped, new_session_id()
+    sock, viewer = s.client()
+    sock.sendall(set_up(session))
+    s.run_until(lambda: bool(s.received(b"SETUP", session)))
+    (set_up_received,) = s.received(b"SETUP", session)
+    set_up_received.connection.send(rtsp.response(100, fields(set_up_received.message)))
+    wait_for_host_input(s)
+    s.gateway.reactor.run_once(0.0)  # reads it, so epoll still lists the host's connection and no viewer's
+    close_unread(sock, viewer)
+    accept(set_up_received)
+    wait_for_host_input(s)
+    s.run_until(lambda: bool(s.received(b"TEARDOWN", session)))
+    assert [x.message.cause for x in s.received(b"TEARDOWN", session)] == [31]
+    s.run_until(lambda: session not in s.gateway.frontend.sessions, seconds_per_iteration=0.01)
+
+
 @pytest.mark.parametrize("stepped", [{"hosts": 1}], indirect=True)
 def test_waiting_viewer_is_answered_although_later_messages_mention_its_session(
     stepped: FrozenClockGateway,
