The daemon's stop keeps to limits.drain whatever hosts, peers and disks do

Waiting viewers were answered at the end of that time; after it each of six waits (releases, loop, log, peers' files, distribution, the hand-over of leader tasks) took at least a second more of its own. Change: schedule_drain counts back from the limit: answers, releases, closing of logs; each wait has what is left until its time, and none a floor of its own.

--- a/otterglade/core/shutdown.py
+++ b/otterglade/core/shutdown.py
@@ -1,8 +1,9 @@
 """Times of a planned stop: how long requests are served, when the last answer is due and when to exit.
 
-The platform sends SIGTERM and may send SIGKILL as early as the deployment's longest deadline plus a fixed
-time later. What the kill finds unanswered is lost, so every time here is counted back from the kill, and none
-from the patience of a viewer.
+`schedule_shutdown` is for the platform's gateway. The platform sends SIGTERM and may send SIGKILL as early as
+the deployment's longest deadline plus a fixed time later. What the kill finds unanswered is lost, so every
+time here is counted back from the kill, and none from the patience of a viewer. `schedule_drain` is for the
+daemon, whose supervisor allows a stated time.
 """
 
 from __future__ import annotations
@@ -70,3 +71,31 @@
         kill_at=kill_at,
         refuse_at=min(now + REFUSE_AFTER_SECONDS, answers_due_at),
     )
+
+
+MAX_DRAIN_EXIT_SECONDS, DRAIN_EXIT_SHARE = 0.5, 0.15
+"""Seconds kept for the exit of the daemon's process, and the most that this may take of the drain time."""
+MAX_DRAIN_CLOSE_SECONDS, DRAIN_CLOSE_SHARE = 0.5, 0.15
+"""The same for closing the logs and files, after the hosts were told."""
+MAX_DRAIN_RELEASE_SECONDS, DRAIN_RELEASE_SHARE = 1.0, 0.2
+"""The same for telling the hosts which sessions end, after the last answer."""
+
+
+@dataclass(frozen=True, slots=True)
+class DrainSchedule:
+    """Latest times of the steps of a daemon's stop, in seconds of the clock that it was made with."""
+
+    answers_due_at: float
+    """Waiting viewers are answered by then."""
+    released_by: float
+    """No release at a host is waited for any longer."""
+    exit_by: float
+    """No log or thread is waited for any longer."""
+
+
+def schedule_drain(now: float, limit: float) -> DrainSchedule:
+    """The times of a stop that starts `now` and may take `limit` seconds in all."""
+    exit_by = now + limit - min(MAX_DRAIN_EXIT_SECONDS, DRAIN_EXIT_SHARE * limit)
+    released_by = exit_by - min(MAX_DRAIN_CLOSE_SECONDS, DRAIN_CLOSE_SHARE * limit)
+    answers_due_at = released_by - min(MAX_DRAIN_RELEASE_SECONDS, DRAIN_RELEASE_SHARE * limit)
+    return DrainSchedule(answers_due_at, released_by, exit_by)
--- a/otterglade/gateway/daemon.py
+++ b/otterglade/gateway/daemon.py
@@ -27,6 +27,7 @@
 from ..core.policy import Controller
 from ..core.session_manager import SessionManager
 from ..core.sessions import PlacementModule
+from ..core.shutdown import DrainSchedule, schedule_drain
 from ..core.tokens import TokenSigner
 from ..net.http import Client, Exchange, Timeouts, serve
 from ..net.listener import Address, Listener, bind_socket
@@ -60,6 +61,8 @@
 """Idle checks per snapshot of the state that a restart needs."""
 HANDOVER_TIMEOUT_SECONDS = 1.0
 """Time that a stop waits for the handover of its leader tasks: several rounds of messages and syncs."""
+WRITE_OUT_SECONDS = 0.5
+"""Time that a stop waits for connections to send the rest of their answers."""
 STATUS_TIMEOUT_SECONDS = 0.5
 """Time that the status waits for figures computed on the loop; after it they are left out."""
 BUSY_RESPONSE = http1.response(
@@ -90,6 +93,11 @@
     return key
 
 
+def _seconds_until(deadline: float) -> float:
+    """Seconds until a time of the monotonic clock; 0 if it has passed."""
+    return max(0.0, deadline - time.monotonic())
+
+
 def _set_event(done: threading.Event) -> Callable[[SessionManager, float], list[messages.Order]]:
     """Returns an input that sets an event, once all inputs before it have run."""
 
@@ -279,52 +287,62 @@
         self.log.info("started", address=f"{self.address[0]}:{self.address[1]}", pid=os.getpid())
 
     def stop(self) -> bool:
-        """Accept no new players, answer waiting ones, release all sessions; returns False if time ran out."""
-        limit = self.config.limits.drain
-        deadline = time.monotonic() + limit
+        """Accept no new players, answer waiting ones, release all sessions; returns False if time ran out.
+
+        Takes at most `limits.drain` seconds, whatever viewers, hosts and peers do.
+        """
+        schedule = schedule_drain(time.monotonic(), self.config.limits.drain)
         self.log.info("stopping", waiting=self.front.waiting, playing=len(self.sessions.live))
         self.front.stopping, self.phase = True, "stopping"
         self.listener.stop_accepting()
-        if self.peers is not None and not self.peers.hand_over(HANDOVER_TIMEOUT_SECONDS):
-            self.log.warning("duties_not_handed_over", waited=HANDOVER_TIMEOUT_SECONDS)
+        self._hand_over_leader_tasks(schedule)
         if self.registry is not None:
             self.registry.stop()
         if self.distribution is not None:
             self.distribution.stop()
-        while self.front.waiting and time.monotonic() < deadline:
+        while self.front.waiting and time.monotonic() < schedule.answers_due_at:
             time.sleep(0.01)
         unanswered = self.front.waiting
         done = threading.Event()
         self.loop.put(lambda manager, now: manager.close(now))
         self.loop.put(_set_event(done))
-        answered = done.wait(max(1.0, deadline - time.monotonic()))
-        released = self.hosts.stop(max(1.0, deadline - time.monotonic()))
+        answered = done.wait(_seconds_until(schedule.released_by))
+        released = self.hosts.stop(_seconds_until(schedule.released_by))
         self._stopped.set()
         if self.peers is not None:
             self.peers.stop()
         self.loop.put(self._close_store)
         self.loop.stop()
-        self.listener.wait_empty(min(deadline, time.monotonic() + 0.5))
+        self.listener.wait_empty(min(schedule.exit_by, time.monotonic() + WRITE_OUT_SECONDS))
         self.listener.abort_all()  # idle keep-alive connections; their players reconnect to other gateways
         if self._recorder is not None:
             self._recorder.close()
-        # Another run may use the folder once the lock is released: by then the loop must pass no more work to
-        # other threads, and the logs' threads must have written theirs.
-        if not self.loop.wait_closed(max(1.0, deadline - time.monotonic())):
-            self.log.warning("loop_not_ended")
-        if not self.journal.wait_closed(max(1.0, deadline - time.monotonic())):
-            self.log.warning("store_not_closed")
-        if self.peers is not None:
-            self.peers.wait_closed(max(1.0, deadline - time.monotonic()))
-        if self.distribution is not None and not self.distribution.closed(
-            max(1.0, deadline - time.monotonic())
-        ):
-            self.log.warning("distribution_not_closed")
+        self._wait_until_closed(schedule.exit_by)
         self.phase = "stopped"
         self._lock.release()
         self.log.info("stopped", unanswered=unanswered, released=released)
         return answered and released and not unanswered
 
+    def _hand_over_leader_tasks(self, schedule: DrainSchedule) -> None:
+        limit = min(HANDOVER_TIMEOUT_SECONDS, _seconds_until(schedule.answers_due_at))
+        if self.peers is not None and not self.peers.hand_over(limit):
+            self.log.warning("duties_not_handed_over", waited=limit)
+
+    def _wait_until_closed(self, deadline: float) -> None:
+        """Wait for the threads that write, until `deadline` (monotonic seconds).
+
+        Another run may use the folder once the lock is released: by then the loop must pass no more work to
+        other threads, and the logs' threads must have written theirs.
+        """
+        if not self.loop.wait_closed(_seconds_until(deadline)):
+            self.log.warning("loop_not_ended")
+        if not self.journal.wait_closed(_seconds_until(deadline)):
+            self.log.warning("store_not_closed")
+        if self.peers is not None:
+            self.peers.wait_closed(deadline)
+        if self.distribution is not None and not self.distribution.closed(_seconds_until(deadline)):
+            self.log.warning("distribution_not_closed")
+
     def reload(self, config: Config) -> list[str]:
         """Apply a configuration that was read again and validated; returns the changed blocks.
 
--- a/otterglade/gateway/peers.py
+++ b/otterglade/gateway/peers.py
@@ -285,17 +285,16 @@
         self._loop().put(hand_over_tasks)
         return self._handed_over.wait(limit)
 
-    def wait_closed(self, limit: float) -> None:
-        """Wait until all queued writes are done, at most `limit` seconds for each file.
+    def wait_closed(self, deadline: float) -> None:
+        """Wait until all queued writes are done, or until the monotonic `deadline`.
 
         A process that still wrote after releasing the lock of its folder could overwrite the boot number of
         the next run.
         """
-        self._identity_writer.wait_idle(limit)
-        self._part_files.wait_idle(limit)
-        for log in (self._witness_log, self._task_log):
-            if log is not None:
-                log.wait_closed(limit)
+        waits = [self._identity_writer.wait_idle, self._part_files.wait_idle]
+        waits += [x.wait_closed for x in (self._witness_log, self._task_log) if x is not None]
+        for wait in waits:
+            wait(max(0.0, deadline - time.monotonic()))
 
     # The reading thread
 
--- a/tests/planted_threads.py
+++ b/tests/planted_threads.py
@@ -114,9 +114,10 @@
          "            self._stream = stream\n            return True"),
         ("one count changed by two threads", "peers-socket", "gateway.peers", "self._queued_count += 1", "self._processed_count -= 1"),
         ("stop does not wait for the loop", "stop-no-store", "gateway.daemon",
-         "        if not self.loop.wait_closed(max(1.0, deadline - time.monotonic())):\n", "        if False:\n"),
+         "        if not self.loop.wait_closed(_seconds_until(deadline)):\n", "        if False:\n"),
         ("stop does not wait for the log", "stop", "gateway.daemon",
-         "        if not self.journal.wait_closed(max(1.0, deadline - time.monotonic())):\n", "        if False:\n"),
-        ("stop does not wait for the saves", "stop", "gateway.peers", "        self._identity_writer.wait_idle(limit)\n", ""),
+         "        if not self.journal.wait_closed(_seconds_until(deadline)):\n", "        if False:\n"),
+        ("stop does not wait for the saves", "stop", "gateway.peers", "        waits = [self._identity_writer.wait_idle, self._part_files.wait_idle]\n",
+         "        waits = [self._part_files.wait_idle]\n"),
     )
 )  # fmt: skip
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -138,3 +138,37 @@
     assert process.child.wait(BOUND) == 1
     thread.join(BOUND)
     assert '"stopped"' not in log.read_text()
+
+
+@pytest.mark.parametrize("drain", [1.0, 2.0])
+def test_stop_ends_within_the_drain_time_while_hosts_hang(stage: Stage, drain: float) -> None:
+    """Set-ups and the releases of what plays get no answer; a supervisor kills after `limits.drain`."""
+    process, path = stage.gateways[0], stage.folder / "gateway-0.star"
+    log = stage.folder / f"{process.name}.log"
+    path.write_text(path.read_text().replace("fetch_gap = 4.0", f"fetch_gap = 4.0, drain = {drain}"))
+    process.child.send_signal(signal.SIGHUP)
+    until(lambda: '"reloaded"' in log.read_text())
+    playing = f"http://{process.address}/watch/timelapse/job-0.m3u8?viewer=plays"
+    assert Browser().get(playing, time.monotonic() + BOUND)[0].status == 200
+    for number in stage.hosts:
+        stage.fault(stage.hosts[number].address, "hang", 60.0)
+    statuses: list[int] = []
+
+    def wait_for_answer(viewer: int) -> None:
+        url = f"http://{process.address}/watch/sign-off/job-0.m3u8?viewer={viewer}"
+        statuses.append(Browser().get(url, time.monotonic() + BOUND)[0].status)
+
+    threads = [threading.Thread(target=wait_for_answer, args=(n,)) for n in range(3)]
+    for thread in threads:
+        thread.start()
+    status = f"http://{process.address}/status"
+    until(lambda: b'"waiting":3' in Browser().get(status, time.monotonic() + BOUND)[0].body)
+    process.child.send_signal(signal.SIGTERM)
+    terminated_at = time.monotonic()
+    process.child.wait(BOUND)
+    took = time.monotonic() - terminated_at
+    for thread in threads:
+        thread.join(BOUND)
+    assert len(statuses) == 3, f"answered with {statuses}"
+    assert took < drain, f"ended after {took:.2f} s"
+    assert '"stopped"' in log.read_text()
