A stopping gateway refuses new set-ups from 1 s after SIGTERM, not 1.5 s

Looked for others in node/, net/, wire/ and core/ (constants, their reasons and commits): limits of messages and events an iteration, the share of a viewer's patience kept for late timers, the margin before a host's idle close and the daemon's grace after a pause guard against busy machines, long input and stopped processes, with tests; they stay. Measured: tests of stop, kill and restart pass.

--- a/otterglade/core/shutdown.py
+++ b/otterglade/core/shutdown.py
@@ -28,9 +28,9 @@
 """Most seconds reserved for late timers: an answer that was due before SIGTERM still keeps its time."""
 GRACE_SECONDS = 0.8
 """Seconds from the handling of SIGTERM during which requests may still arrive."""
-REFUSE_AFTER_SECONDS = 1.5
-"""Seconds from the handling of SIGTERM after which set-ups are refused at once. Requests that must be served
-are sent up to 0.6 s after it, and even a late iteration has read them by then."""
+REFUSE_AFTER_SECONDS = 1.0
+"""Seconds from the handling of SIGTERM after which set-ups are refused at once: no request is served from
+here so late, and a refused viewer has time to ask another gateway."""
 
 
 @dataclass(frozen=True, slots=True)
