--- a/otterglade/cli/main.py
+++ b/otterglade/cli/main.py
@@ -13,6 +13,7 @@
 from .peers import peers
 from .replay import replay
 from .run import run
+from .soak import soak
 from .standin import standin
 
 
@@ -22,7 +23,7 @@
     """A session front: places video sessions on media hosts and shapes them."""
 
 
-for command in (run, check, replay, day, days, explore, demo, peers, fleet, control, standin):
+for command in (run, check, replay, day, days, explore, demo, peers, fleet, control, standin, soak):
     main.add_command(command)
 
 
--- a/tests/platform.py
+++ b/tests/platform.py
@@ -26,6 +26,7 @@
 from otterglade.net.reactor import Reactor
 from otterglade.node.config import load_config
 from otterglade.node.gateway import MAINTENANCE_SECONDS, Gateway
+from otterglade.standins.dns_answers import ListedHost, encode_list
 from otterglade.wire import rtsp
 
 WAIT = 10.0
@@ -220,28 +221,12 @@
     close = die
 
 
-def _name(text: str) -> bytes:
-    return b"".join(bytes((len(x),)) + x.encode() for x in text.split(".")) + b"\0"
-
-
 def dns_answer(
     query: bytes, serial: int, hosts: dict[str, tuple[tuple[str, int], int, bool]], flags: int = 0x8400
 ) -> bytes:
-    """An answer with a whole list. `hosts`: address, cell and draining by name. The service name is
-    compressed."""
-    service = struct.pack("!H", 0xC000 | 12)
-    answer, more = b"", b""
-    for name, ((where, port), cell, draining) in hosts.items():
-        target = _name(f"{name}.east.hosts")
-        data = struct.pack("!HHH", 1 if draining else 0, 10, port) + target
-        answer += service + struct.pack("!HHIH", 33, 1, 0, len(data)) + data
-        texts = b"".join(bytes((len(x),)) + x for x in (b"kind=std", b"cell=%d" % cell, b"started=0"))
-        more += target + struct.pack("!HHIH", 1, 1, 0, 4) + socket.inet_aton(where)
-        more += target + struct.pack("!HHIH", 16, 1, 0, len(texts)) + texts
-    soa = _name("ns.local") + _name("root.local") + struct.pack("!IIIII", serial, 1, 1, 1, 1)
-    authority = service + struct.pack("!HHIH", 6, 1, 0, len(soa)) + soa
-    head = query[:2] + struct.pack("!HHHHH", flags, 1, len(hosts), 1, 2 * len(hosts))
-    return head + query[12:] + answer + authority + more
+    """An answer with a whole list. `hosts`: address, cell and draining by name."""
+    listed = [ListedHost(x, address, cell, draining) for x, (address, cell, draining) in hosts.items()]
+    return encode_list(query, serial, listed, flags)
 
 
 class NameService:
