The flood of a test goes to its gateway's own address

Seen: test_start_during_a_flood waited for ever after the gateways of tests got addresses of their own: its flood process kept the old address in its text. Change: the address is an argument.

--- a/tests/test_node_flood.py
+++ b/tests/test_node_flood.py
@@ -20,7 +20,7 @@
 from tests.platform import new_session_id, set_up
 from otterglade.wire import rtsp
 
-address, size = ("127.0.0.1", int(sys.argv[1])), int(sys.argv[2])
+address, size = (sys.argv[1], int(sys.argv[2])), int(sys.argv[3])
 selector = selectors.DefaultSelector()
 up, sent, reported = 0, 0, False
 
@@ -114,10 +114,9 @@
         found.configure()
         flood = None
 
-        def start_flood(at: int = found.address[1]) -> subprocess.Popen[bytes]:
-            made = subprocess.Popen(
-                [sys.executable, "-c", FLOOD, str(at), str(FLOOD_CONNECTIONS), order], stdout=subprocess.PIPE
-            )
+        def start_flood(at: tuple[str, int] = found.address) -> subprocess.Popen[bytes]:
+            arguments = [at[0], str(at[1]), str(FLOOD_CONNECTIONS), order]
+            made = subprocess.Popen([sys.executable, "-c", FLOOD, *arguments], stdout=subprocess.PIPE)
             assert made.stdout is not None and made.stdout.readline() == b"ready\n"
             return made
 
