A release that crosses the close of a viewer's connection is sent again

Cause: the release was written before the close arrived; the kernel took it, and the viewer's side threw it away. Towards hosts such messages are kept until acknowledged, towards viewers they were not. Change: releases of the last 0.25 s on a connection that its viewer ends are sent once more, on another one or on the next; the viewer's 200 (free by the protocol) ends that.

--- a/otterglade/node/frontend.py
+++ b/otterglade/node/frontend.py
@@ -49,6 +49,10 @@
 """Descriptors freed when none is left, so that connections to hosts remain possible."""
 PARTIAL_REQUEST_SECONDS = 1.0
 """Seconds since its last byte for which a shutdown waits for the rest of a request."""
+CROSSING_SECONDS = 0.25
+"""Seconds before the end of a viewer's connection within which a release on it may have crossed the end."""
+MAX_RECENT_RELEASES = 64
+"""Releases remembered per connection."""
 PENDING_RELEASE_SECONDS = 8.0
 """Seconds for which a release is kept when no viewer's connection is open for it."""
 
@@ -90,6 +94,8 @@
         self.reader = rtsp.Reader()
         self.pending: dict[bytes, ClientSession] = {}
         self.established: dict[bytes, ClientSession] = {}
+        self.recent_releases: OrderedDict[bytes, tuple[bytes, float]] = OrderedDict()
+        """Releases that were sent and not acknowledged, and when, by session; oldest first."""
         self.error_count = 0
         self.was_used = False
         self.last_activity_at = frontend.reactor.clock()
@@ -117,6 +123,7 @@
     def connection_lost(self, cause: str) -> None:
         """Report the end of the connection to the frontend."""
         self.frontend.viewer_disconnected(self)
+        self.frontend.repeat_releases(self)
 
 
 class Frontend:
@@ -310,14 +317,14 @@
         viewer, now = self._shared_connection(shutting_down), self.reactor.clock()
         for session, (message, expires_at) in list(self._pending_releases.items()):
             if viewer is not None:
-                viewer.channel.send(message)
+                self._send_release(viewer, session, message)
             if viewer is not None or expires_at < now:
                 del self._pending_releases[session]
 
     # Requests of viewers
 
     def handle_message(self, viewer: ViewerConnection, message: rtsp.Message) -> None:
-        """Dispatch a viewer's message; responses are ignored."""
+        """Dispatch a viewer's message; of responses only the acknowledgement of a release counts."""
         if message.method == b"SETUP":
             self._handle_setup(viewer, message)
         elif message.method == b"TEARDOWN":
@@ -334,6 +341,8 @@
             viewer.channel.send(messages.status_response(200, message))
         elif not message.status:
             self._reject_request(viewer, message, "method")
+        elif message.fields.get(b"cseq") == b"2":
+            viewer.recent_releases.pop(message.session, None)
 
     def _reject_request(self, viewer: ViewerConnection, message: rtsp.Message, reason: str) -> None:
         self._log_once(f"a request is not taken: {reason}")
@@ -442,9 +451,26 @@
             viewer = self._shared_connection()
         if viewer is not None:
             self._note_activity(viewer)
-            viewer.channel.send(message)
+            self._send_release(viewer, client.session, message)
         else:
-            self._pending_releases[client.session] = (message, self.reactor.clock() + PENDING_RELEASE_SECONDS)
+            self._defer_release(client.session, message)
+
+    def _send_release(self, viewer: ViewerConnection, session: bytes, message: bytes) -> None:
+        viewer.channel.send(message)
+        viewer.recent_releases[session] = (message, self.reactor.clock())
+        if len(viewer.recent_releases) > MAX_RECENT_RELEASES:
+            viewer.recent_releases.popitem(last=False)
+
+    def _defer_release(self, session: bytes, message: bytes) -> None:
+        self._pending_releases[session] = (message, self.reactor.clock() + PENDING_RELEASE_SECONDS)
+
+    def repeat_releases(self, ended: ViewerConnection) -> None:
+        """Send the releases that may have crossed the end of a viewer's connection on another one."""
+        since = self.reactor.clock() - CROSSING_SECONDS
+        for session, (message, sent_at) in ended.recent_releases.items():
+            if sent_at >= since:
+                self._defer_release(session, message)
+        self._send_pending_releases()
 
     def forget_session(self, client: ClientSession) -> None:
         """Remove a session that has ended."""
--- a/tests/test_node_gone.py
+++ b/tests/test_node_gone.py
@@ -312,6 +312,30 @@
     assert methods == [b"TEARDOWN"]
 
 
+@pytest.mark.parametrize("acknowledged", [False, True])
+def test_release_that_crosses_the_close_of_a_viewers_connection_is_sent_again(
+    stepped: FrozenClockGateway, acknowledged: bool
+) -> None:
+    """The release is in the viewer's kernel, unread, when the viewer closes."""
+    s, sessions = stepped, [new_session_id(), new_session_id()]
+    (sock, viewer), (other, shared) = s.client(), s.client()
+    s.hosts[0].respond = accept
+    for client, connection, session in zip((sock, other), (viewer, shared), sessions, strict=True):
+        client.sendall(set_up(session))
+        s.run_until(lambda own=connection, session=session: session in own.established)  # type: ignore[misc]
+    s.received(b"SETUP")[0].connection.send(teardown(sessions[0]))
+    s.run_until(lambda: sessions[0] not in s.gateway.frontend.sessions)
+    if acknowledged:
+        sock.sendall(rtsp.response(200, [(b"CSeq", b"2"), (b"Session", sessions[0])]))
+    sock.close()
+    s.run_until(lambda: viewer not in s.gateway.frontend.viewers)
+    reader, methods = rtsp.Reader(), list[bytes]()
+    while select.select([other], [], [], 0.3)[0]:
+        reader.feed(other.recv(1 << 20))
+        methods += [x.method for x in iter(reader.next_message, None) if x.session == sessions[0]]
+    assert methods == ([] if acknowledged else [b"TEARDOWN"])
+
+
 @pytest.mark.parametrize("stepped", [{"hosts": 1}], indirect=True)
 def test_session_is_released_at_its_host_if_the_close_of_its_viewer_is_unread(
     stepped: FrozenClockGateway,
