--- a/otterglade/lab/soak/hosts.py
+++ b/otterglade/lab/soak/hosts.py
@@ -25,6 +25,8 @@
 """Range of the lengths of sessions."""
 LATE_SECONDS = (0.01, 0.3)
 """Range of the times by which an answer misses its deadline."""
+CROSSING_SECONDS = 0.1
+"""Seconds in which the end of a connection may cross what was written on it."""
 IDLE_CHECK_SECONDS = 0.1
 NOISE = b"\x07\xff no protocol \r\n\r\n\x00"
 
@@ -226,13 +228,17 @@
         """Repeat the releases that were sent on earlier connections, or on none."""
         mine = [x for x in self._untold if x.gateway == link.gateway]
         self._untold = [x for x in self._untold if x.gateway != link.gateway]
-        for end in mine:
-            await self._tell_end(link, end)
+        await asyncio.gather(*(self._tell_end(link, x) for x in mine))
 
     async def _tell_end(self, link: Link, end: SessionEnd) -> None:
         fields = [(b"CSeq", b"2"), (b"Session", end.session), (b"Reason", b"cause=%d" % CAUSE_DONE)]
-        if await link.write(rtsp.request(b"TEARDOWN", EXCHANGE, fields)) and link not in self._spoilt:
-            end.told_at = min(end.told_at, time.time())
+        written = await link.write(rtsp.request(b"TEARDOWN", EXCHANGE, fields))
+        told_at, readable = time.time(), link not in self._spoilt and not link.is_held
+        await asyncio.sleep(CROSSING_SECONDS)
+        if written and readable and not link.ended:  # else its gateway may have closed it before it arrived
+            end.told_at = min(end.told_at, told_at)
+        elif end not in self._untold:
+            self._untold.append(end)
 
     # Faults
 
--- a/otterglade/lab/soak/ports.py
+++ b/otterglade/lab/soak/ports.py
@@ -36,13 +36,17 @@
         self._sock.listen(BACKLOG)
         self.address: Address = self._sock.getsockname()
         self._fillers: list[socket.socket] = []
+        self._filler_addresses: set[Address] = set()
         self._closed = False
         loop.add_reader(self._sock, self._ready)
 
     def _ready(self) -> None:
         with contextlib.suppress(OSError):
             while True:
-                sock, _ = self._sock.accept()
+                sock, peer = self._sock.accept()
+                if peer in self._filler_addresses:
+                    sock.close()
+                    continue
                 sock.setblocking(False)
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
                 self._accept(sock)
@@ -59,6 +63,7 @@
             filler.setblocking(False)
             filler.connect_ex(self.address)
             self._fillers.append(filler)
+            self._filler_addresses.add(filler.getsockname())
 
     def unblock(self) -> None:
         """Let connections come up again."""
--- a/otterglade/lab/soak/processes.py
+++ b/otterglade/lab/soak/processes.py
@@ -143,7 +143,7 @@
         """Kill the process, if it runs, and wait for its end."""
         if self._process is not None and self._process.returncode is None:
             assert self.life is not None
-            self.life.killed = True
+            self.life.killed_at = time.time()
             self.signal(signal.SIGKILL)
         if self._watch is not None:
             await self._watch
--- a/otterglade/referee/platform_records.py
+++ b/otterglade/referee/platform_records.py
@@ -146,8 +146,8 @@
     """When it got SIGTERM."""
     earliest_kill_at: float = math.inf
     ended_at: float = math.inf
-    killed: bool = False
-    """Whether it was ended by SIGKILL."""
+    killed_at: float = math.inf
+    """When it got SIGKILL."""
     exit_code: int | None = None
     peak_memory_mb: float = 0.0
     peak_descriptors: int = 0
--- a/otterglade/referee/platform_rules.py
+++ b/otterglade/referee/platform_rules.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from .platform_records import Attempt, HostState, ListChange, ProcessLife, Records, Request
+from .platform_records import Attempt, HostState, ListChange, ProcessLife, Records, Request, SessionEnd
 
 SLACK_SECONDS = 0.05
 """All time limits are longer by this on sockets."""
@@ -165,7 +165,7 @@
     if request.sent_at > ended_at - CROSSING_SECONDS - records.lateness:
         return True
     life = timeline.life(request.link.gateway, request.sent_at)
-    if life is None or not life.killed or ended_at < life.ended_at - CROSSING_SECONDS:
+    if life is None or ended_at < life.killed_at:
         return False
     return request.sent_at <= life.terminated_at + UNANSWERED_AT_KILL_SECONDS
 
@@ -264,16 +264,22 @@
             yield Finding(Rule.DEPARTED, attempt.begun_at, attempt.gateway, attempt.host, text)
 
 
+def _served_by(end: SessionEnd, timeline: Timeline) -> Request | None:
+    """The request that was served with a session that ended; None: its viewer got another host's."""
+    made = {x.description for x in timeline.attempts[end.session] if x.host == end.host and x.description}
+    requests = timeline.requests[end.session]
+    return next((x for x in requests if any(y.body in made for y in x.answers)), None)
+
+
 def releases(records: Records, timeline: Timeline) -> Iterator[Finding]:
     """The end of a session is passed on in time, where its viewer can be reached all the while."""
     links: dict[int, list[tuple[float, float]]] = defaultdict(list)
     for link in records.links:
         links[link.gateway].append((link.opened_at, link.ended_at))
     for end in records.ends:
-        established = [x for x in timeline.requests[end.session] if x.is_established]
-        if not established:
+        request = _served_by(end, timeline)
+        if request is None:
             continue
-        request = established[-1]
         due_at = end.ended_at + RELEASE_WITHOUT_WORD_SECONDS + SLACK_SECONDS
         if end.told_at < math.inf:
             due_at = min(due_at, end.told_at + RELEASE_SECONDS + SLACK_SECONDS)
@@ -328,14 +334,14 @@
         def found(rule: Rule, text: str, life: ProcessLife = life, at: float = seen_until) -> Finding:
             return Finding(rule, at, life.gateway, "", text)
 
-        ended_by_itself = life.ended_at < math.inf and not life.killed
+        ended_by_itself = life.ended_at < math.inf and life.killed_at == math.inf
         if ended_by_itself and (life.terminated_at == math.inf or life.exit_code):
             yield found(
                 Rule.CRASH, f"ended with {life.exit_code}, SIGTERM sent: {life.terminated_at < math.inf}"
             )
         if "Traceback" in life.log.read_text(errors="replace"):
             yield found(Rule.CRASH, "a traceback in its log")
-        if life.killed and life.terminated_at < math.inf:
+        if life.killed_at < math.inf and life.terminated_at < math.inf:
             yield found(Rule.OVERRUN, "did not end by itself before the earliest SIGKILL")
         if min(life.ready_at, seen_until, life.terminated_at) - life.started_at > READY_SECONDS:
             yield found(Rule.READY, f"not ready within {READY_SECONDS:g} s")
