--- a/otterglade/referee/platform_rules.py
+++ b/otterglade/referee/platform_rules.py
@@ -165,7 +165,7 @@
     if request.sent_at > ended_at - CROSSING_SECONDS - records.lateness:
         return True
     life = timeline.life(request.link.gateway, request.sent_at)
-    if life is None or ended_at < life.killed_at:
+    if life is None or min(ended_at, due_at) < life.killed_at:
         return False
     return request.sent_at <= life.terminated_at + UNANSWERED_AT_KILL_SECONDS
 
