--- a/tests/test_node_kill.py
+++ b/tests/test_node_kill.py
@@ -288,3 +288,34 @@
         assert [len(viewer.messages_for(x)) for x in sessions] == [1] * len(sessions)
     finally:
         found.close()
+
+
+@pytest.mark.parametrize("longest_deadline", [0.6, 3.0])
+def test_viewers_beyond_the_limit_are_answered_before_the_earliest_kill(
+    tmp_path: Path, longest_deadline: float
+) -> None:
+    """More connections than the gateway may hold wait in its backlog, each with a set-up that will hang."""
+    found = Platform(tmp_path, given=settings(classes=classes_with_deadline(longest_deadline)), sockets=64)
+    try:
+        found.add("h0", lambda received: None)
+        found.start()
+        found.suspend()
+        viewers = [found.viewer() for _ in range(80)]
+        deadline = b"%d" % (longest_deadline * 1000.0)
+        sessions = [x.set_up(deadline=deadline) for x in viewers]
+        found.signal(signal.SIGTERM)
+        terminated_at = time.time()
+        found.signal(signal.SIGCONT)
+        assert found.process is not None and found.process.wait(WAIT) == 0
+        took = time.time() - terminated_at
+        for viewer in viewers:
+            assert viewer.connection.ended.wait(WAIT)
+        lost = [
+            x.connection.ended_at - terminated_at
+            for x, session in zip(viewers, sessions, strict=True)
+            if not x.messages_for(session)
+        ]
+        print(took, lost, found.log(), sep="\n")
+        assert not lost and took < earliest_kill(longest_deadline)
+    finally:
+        found.close()
