A late last step of the stop answers what is due and unread before it closes

Cause: a process without CPU until that time shut all connections with requests unread, and, where the step's timer came before the set-ups' own, with set-ups unanswered. Change: the step first has the due set-ups answered; Frontend.finish has what has arrived on each connection handled (refused) before it is shut, up to 32 steps a connection.

--- a/otterglade/net/reactor.py
+++ b/otterglade/net/reactor.py
@@ -40,6 +40,8 @@
 """Errors of `accept` with which the connection stays in the backlog; with any other it is gone."""
 MAX_UNSENT_BYTES = 1 << 18
 """Unsent bytes for a peer that does not read, above which its channel is closed."""
+MAX_FINAL_READS = 32
+"""Reads, or calls of the handler, for the input of a channel that is about to be closed."""
 MAX_DRAIN_BYTES, DRAIN_SECONDS = 1 << 20, 0.5
 """Limits of reading from a peer after the last message was sent to it: closing with unread bytes resets the
 connection, and the message could be lost in flight."""
@@ -336,6 +338,17 @@
         elif self.handler.data_received(data):
             self._reactor.defer(self)
 
+    def read_rest(self) -> None:
+        """Read what has arrived and have all of it handled, up to `MAX_FINAL_READS` steps, before a close."""
+        for _ in range(MAX_FINAL_READS):
+            if self._closing or not self.has_unread_input():
+                return
+            if self in self._reactor._deferred:
+                del self._reactor._deferred[self]
+                self.run_deferred()
+            else:
+                self._read()
+
     def run_deferred(self) -> None:
         """Call the handler again for its buffered input, as it requested."""
         if not self.closed and not self._closing and self.handler.data_received(b""):
--- a/otterglade/node/frontend.py
+++ b/otterglade/node/frontend.py
@@ -265,10 +265,12 @@
                     self.viewer_disconnected(viewer)
 
     def finish(self) -> None:
-        """Shut every connection for writing after the data already queued. Input is read and discarded until
-        the channel is closed: unread bytes would reset the connection and discard the data sent."""
+        """Answer what has arrived on every connection, and shut it for writing after the data queued. Later
+        input is read and discarded until the channel is closed: unread bytes would reset the connection and
+        discard the data sent."""
         self.listener.close()
         for viewer in list(self.viewers):
+            viewer.channel.read_rest()
             viewer.channel.finish()
             self.viewer_disconnected(viewer)
 
--- a/otterglade/node/gateway.py
+++ b/otterglade/node/gateway.py
@@ -322,7 +322,13 @@
             f"exit within {schedule.exit_by - now:.3f} s"
         )
         self.shutdown = Shutdown(
-            self.reactor, self.frontend, self.hosts, schedule, self._count_open_setups, self.log
+            self.reactor,
+            self.frontend,
+            self.hosts,
+            schedule,
+            open_setups=self._count_open_setups,
+            answer_due_setups=lambda: self._dispatch(self.setups.fire_timers),
+            log=self.log,
         )
         self._dispatch(lambda now: self.setups.begin_shutdown(now, schedule.answers_due_at))
 
--- a/otterglade/node/shutdown.py
+++ b/otterglade/node/shutdown.py
@@ -28,12 +28,14 @@
         hosts: HostPool,
         schedule: ShutdownSchedule,
         open_setups: Callable[[], int],
+        answer_due_setups: Callable[[], None],
         log: Callable[[str], None],
     ) -> None:
-        """`open_setups`: returns the number of unanswered set-ups; `log` gets lines for the log."""
+        """`open_setups`: returns the number of unanswered set-ups; `answer_due_setups`: answers those that
+        are due; `log` gets lines for the log."""
         self._reactor, self._frontend, self._hosts = reactor, frontend, hosts
         self.schedule = schedule
-        self._open_setups, self._log = open_setups, log
+        self._open_setups, self._answer_due_setups, self._log = open_setups, answer_due_setups, log
         self._closing = False
         self.closed_at: float | None = None
         """When the last viewer's connection was shut down; None: not yet."""
@@ -43,6 +45,8 @@
         """Go on as far as pending work allows, or as the time demands."""
         now = self._reactor.clock()
         self._frontend.refusing = now >= self.schedule.refuse_at
+        if now >= self.schedule.answers_due_at:
+            self._answer_due_setups()  # a late iteration may come here before their timers
         if not self._closing and (now >= self.schedule.close_by or not self.has_pending_work(now)):
             self._closing = self._frontend.stop_listening() or now >= self.schedule.close_by
         if self._closing and self.closed_at is None:
--- a/tests/test_node_kill.py
+++ b/tests/test_node_kill.py
@@ -9,6 +9,7 @@
 
 import contextlib
 import random
+import select
 import signal
 import socket
 import subprocess
@@ -79,6 +80,15 @@
     sent_at: float
     """Unix seconds."""
     viewer: ViewerEnd
+    closed: bool
+    """Whether the viewer's kernel already had the close of its connection."""
+
+
+def has_close(sock: socket.socket) -> bool:
+    """Whether the peer's close has arrived, read or not."""
+    poll = select.poll()
+    poll.register(sock, select.POLLRDHUP)
+    return bool(poll.poll(0))
 
 
 class InsistentViewer:
@@ -105,7 +115,8 @@
             session, class_no = new_session_id(), self._random.choice((b"free", b"paid"))
             with contextlib.suppress(OSError):
                 self._viewer.connection.sock.sendall(set_up(session, class_no, deadline=self._deadline))
-                self.requests.append(Request(session, time.time(), self._viewer))
+                sent_at, closed = time.time(), has_close(self._viewer.connection.sock)
+                self.requests.append(Request(session, sent_at, self._viewer, closed))
 
     def stop(self) -> None:
         self._stopped.set()
@@ -152,7 +163,11 @@
         for request in viewer.requests:
             assert request.viewer.connection.ended.wait(WAIT)
     requests = [x for viewer in viewers for x in viewer.requests]
-    lost = sorted(f"{x.sent_at - terminated_at:.3f} {x.session.decode()}" for v in viewers for x in v.lost())
+    lost = sorted(
+        f"{x.sent_at - terminated_at:.3f} {x.session.decode()} closed={x.closed}"
+        for v in viewers
+        for x in v.lost()
+    )
     doubled = sum(len(x.viewer.messages_for(x.session)) > 1 for x in requests)
     return Shutdown(len(requests), lost, doubled, ended_after)
 
--- a/tests/test_node_stop.py
+++ b/tests/test_node_stop.py
@@ -13,6 +13,7 @@
 import pytest
 
 from otterglade.core.shutdown import GRACE_SECONDS, REFUSE_AFTER_SECONDS
+from otterglade.net.reactor import Channel
 from otterglade.node.shutdown import Shutdown
 from otterglade.wire import rtsp
 
@@ -213,6 +214,33 @@
             assert len({x.session for x in answers}) == asked and not g.frontend.sessions
 
 
+def test_requests_unread_when_the_last_connections_are_closed_are_answered(tmp_path: Path) -> None:
+    """The process got no CPU until the latest time for closing; three requests wait on one connection."""
+    with stepped(tmp_path, respond=lambda received: None) as g:
+        viewer = g.viewer()
+        hanging = viewer.set_up(b"paid", deadline=b"6000")
+        g.run_until(lambda: g.platform.hosts["h0"].count(b"SETUP"))
+        g.gateway.handle_signal(signal.SIGTERM)
+        shutdown = shutdown_of(g)
+        g.advance(shutdown.schedule.answers_due_at - 0.05 - g.reactor.clock())
+        sessions = [new_session_id() for _ in range(3)]
+        viewer.connection.send(b"".join(map(set_up, sessions)))
+        (connection,) = g.frontend.viewers
+        wait_until_unread(connection.channel)
+        g.clock_offset += shutdown.schedule.close_by - g.reactor.clock()
+        while g.frontend.viewers:
+            g.reactor.run_once(0.0)
+        g.run_until(lambda: len(viewer.received) >= 4)
+        assert [x.status for x in viewer.messages_for(hanging)] == [500]
+        assert [x.status for y in sessions for x in viewer.messages_for(y)] == [503] * 3
+
+
+def wait_until_unread(channel: Channel) -> None:
+    until = time.time() + WAIT
+    while not channel.has_unread_input():
+        assert time.time() < until
+
+
 # Signals to a real process
 
 
