Review case 3: a session's end on a connection of no further use is never told

Change: case 3: one answer never comes; a session that was set up on the same connection ends 1 s later, and the gateway hears its host each second on another one.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec "$(dirname "$0")/../case.sh" 3
