Review case 2: draining hosts end, sessions accepted after the notice are cut with them

Need: the case showed set-ups at draining hosts, but not what is lost by them.

Stand-ins that no case uses are removed.

--- a/review/parts.py
+++ b/review/parts.py
@@ -1,4 +1,4 @@
-"""Stand-ins of the review's cases: media hosts, name service, viewers and a relay, after the protocol page.
+"""Stand-ins of the review's cases: media hosts, name service and viewers, after the protocol page.
 
 Standard library only. Nothing is shared with the gateway: messages are parsed and written here.
 """
@@ -190,6 +190,13 @@
         with contextlib.suppress(OSError):
             self.sock.shutdown(socket.SHUT_RDWR)
 
+    def reset(self) -> None:
+        self.open = False
+        with contextlib.suppress(OSError):
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            self.sock.shutdown(socket.SHUT_RD)
+        self.sock.close()
+
 
 @dataclass
 class Standing:
@@ -219,7 +226,7 @@
         self.ended: dict[str, tuple[float, bool]] = {}
         """Sessions that ended: when (Unix seconds), and whether a connection in use took the release."""
         self.pending: set[str] = set()
-        self.link_full, self.work_seconds = False, 0.06
+        self.work_seconds = 0.06
         self.other_kb = 0.0
         """What the sessions of other gateways ask of its link."""
         self.lose_answer: Callable[[MediaHost, Connection, Message], bool] = lambda host, on, message: False
@@ -279,7 +286,7 @@
                 title, tier = got.first[1].rpartition("/")[2], got.fields["x-tier"]
                 self.setups.append((time.time(), session, title, tier))
                 self.on_setup(self, got)
-                if self.link_full or self.asked_kb() >= WEIGHT * WEIGHT_KB:
+                if self.asked_kb() >= WEIGHT * WEIGHT_KB:
                     self.record.note(self.name, f"SETUP {session} {tier} title {title[-2:]}: 453")
                     connection.send(answer(453, got))
                     return
@@ -338,6 +345,21 @@
         self.record.note(self.name, f"releases {known.session} cause={cause}, {how}")
         self.ended[known.session] = time.time(), on is not None and not on.dead
 
+    def die(self) -> list[str]:
+        """The process ends: connections are reset, sessions are cut. Returns those that stood."""
+        with self.lock:
+            cut = list(self.standing)
+            self.standing.clear()
+            self.pending.clear()
+            for listener in self.listeners:
+                with contextlib.suppress(OSError):
+                    listener.shutdown(socket.SHUT_RDWR)
+                listener.close()
+            for connection in self.connections:
+                connection.reset()
+            self.record.note(self.name, f"its process ends, {len(cut)} sessions are cut")
+            return cut
+
     def close(self) -> None:
         for listener in self.listeners:
             with contextlib.suppress(OSError):
@@ -393,7 +415,7 @@
         self.told_at: dict[int, float] = {}
         """When the first answer with a serial was sent (Unix seconds)."""
         self.queries = self.answers = 0
-        self._lock, self._due = threading.Condition(), []
+        self._lock = threading.Condition()
         self._order = itertools.count()
         self._due: list[tuple[float, int, bytes, tuple[str, int]]] = []
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -410,6 +432,13 @@
             self.record.note(self.name, f"event {self.serial}: {host}")
             return self.serial
 
+    def remove(self, name: str) -> None:
+        """Tell that a host is gone."""
+        with self._lock:
+            del self.hosts[name]
+            self.serial += 1
+            self.record.note(self.name, f"event {self.serial}: {name} is gone")
+
     def _receive(self) -> None:
         while True:
             try:
@@ -531,53 +560,6 @@
     return f"7f3a9c21e0b4{number:02x}{cell:02x}"
 
 
-class Relay:
-    """A relay in front of a gateway, as any middle box: `break_all` resets what rests on it."""
-
-    def __init__(self, to: tuple[str, int]) -> None:
-        self.to, self.pairs = to, []
-        self.pairs: list[tuple[socket.socket, socket.socket]] = []
-        self.listener = socket.create_server(("127.0.0.1", 0), backlog=64)
-        self.address: tuple[str, int] = self.listener.getsockname()
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def _accept(self) -> None:
-        while True:
-            try:
-                near, _ = self.listener.accept()
-                far = socket.create_connection(self.to, timeout=5.0)
-            except OSError:
-                return
-            far.settimeout(None)
-            self.pairs.append((near, far))
-            for a, b in ((near, far), (far, near)):
-                a.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                threading.Thread(target=self._pump, args=(a, b), daemon=True).start()
-
-    def _pump(self, source: socket.socket, sink: socket.socket) -> None:
-        with contextlib.suppress(OSError):
-            while data := source.recv(65536):
-                sink.sendall(data)
-        with contextlib.suppress(OSError):
-            sink.shutdown(socket.SHUT_WR)
-
-    def break_all(self) -> int:
-        """Reset both sides of every connection; returns how many there were."""
-        pairs, self.pairs = self.pairs, []
-        for sock in itertools.chain.from_iterable(pairs):
-            with contextlib.suppress(OSError):
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-                sock.shutdown(socket.SHUT_RD)
-            sock.close()
-        return len(pairs)
-
-    def close(self) -> None:
-        with contextlib.suppress(OSError):
-            self.listener.shutdown(socket.SHUT_RDWR)
-        self.listener.close()
-        self.break_all()
-
-
 class Viewers:
     """Viewers of one gateway: connections, and what was received for each session."""
 
