Connections to media hosts get a module of their own, host_links.py

Link, Attempt and the two constants that only they use move to node/host_links.py as they were; imports follow. No behaviour changes.

--- a/otterglade/node/gateway.py
+++ b/otterglade/node/gateway.py
@@ -23,7 +23,8 @@
 from .discovery import Discovery
 from .frontend import ClientSession, Frontend
 from .handovers import PendingHandOvers
-from .hosts import Attempt, EstablishedSession, Host, HostPool
+from .host_links import Attempt
+from .hosts import EstablishedSession, Host, HostPool
 from .shutdown import Shutdown
 
 MAINTENANCE_SECONDS = 0.25
--- a/otterglade/node/hosts.py
+++ b/otterglade/node/hosts.py
@@ -20,12 +20,11 @@
 
 from ..core import interface as api
 from ..core.outcomes import FailureKind, Phase, outcome_of_failure
-from ..net.reactor import Address, Channel, Reactor
+from ..net.reactor import Address, Reactor
 from ..wire import rtsp
 from . import messages
+from .host_links import Attempt, Link
 
-MAX_MESSAGES = 32
-"""Messages of one connection that are handled in one iteration of the event loop."""
 MAX_IDLE_LINKS = 2
 """Idle connections kept open per host in addition to its control connection."""
 IDLE_SECONDS = 3.0
@@ -41,9 +40,6 @@
 """Seconds for which a late answer to a cancelled set-up is expected, to release the session it reports."""
 CROSSING_SECONDS = 0.25
 """Seconds that a message and the answer that crosses it may be on their way."""
-PARTIAL_MESSAGE_SECONDS = 0.25
-"""Seconds to wait for the rest of a partial message. A message that is shorter than its length says would
-swallow what follows it: releases of other sessions would be read as part of its body."""
 OVERDUE_SECONDS = 0.4
 """Seconds without an answer to a set-up after which its connection may be unusable: another one is opened, on
 which the host can send what it could not send on the first."""
@@ -92,22 +88,6 @@
         ...
 
 
-@dataclass(slots=True, eq=False)
-class Attempt:
-    """One attempt to set up a session at a host; `number`: the core's number of the request."""
-
-    number: int
-    attempt: int
-    session: bytes
-    message: bytes
-    link: Link | None = None
-    offset: int = 0
-    """Bytes that were queued on its connection before it."""
-    queued_at: float = 0.0
-    """When it was queued on its connection (seconds of the reactor's clock)."""
-    resent: bool = False
-
-
 @dataclass(frozen=True, slots=True)
 class EstablishedSession:
     """A session that plays at a host."""
@@ -117,89 +97,6 @@
     established_at: float
 
 
-class Link:
-    """One connection to a host; handler of its channel."""
-
-    def __init__(self, host: Host, timeout: float) -> None:
-        """Raises OSError if the connection can't be started. `timeout`: seconds for connecting."""
-        self.host = host
-        self.reader = rtsp.Reader()
-        self.attempts: dict[bytes, Attempt] = {}
-        self.recent_sessions: OrderedDict[bytes, None] = OrderedDict()
-        """Session ids of the set-ups sent on this connection, oldest first."""
-        self.probes: dict[bytes, float] = {}
-        self.draining = False
-        """Accepts nothing new; closed once nothing depends on it."""
-        self.connected_at: float | None = None
-        self.last_used_at = host.pool.reactor.clock()
-        """When something was last sent: the host's timeout for idle connections may start here."""
-        self.partial_since: float | None = None
-        self.overdue = False
-        self.channel = Channel.open(host.pool.reactor, host.address, self, timeout)
-
-    def send(self, data: bytes) -> None:
-        """Queue bytes and note the time of use."""
-        self.last_used_at = self.host.pool.reactor.clock()
-        self.channel.send(data)
-
-    def connection_made(self) -> None:
-        """Report to the host that the connection is established."""
-        self.connected_at = self.host.pool.reactor.clock()
-        self.host.link_connected(self)
-
-    @property
-    def is_reusable(self) -> bool:
-        """Whether a new set-up can be sent without crossing anything: the host's close of an idle connection,
-        unread bytes, a partial message, or data that the host does not read."""
-        now, channel = self.host.pool.reactor.clock(), self.channel
-        if (
-            now - self.last_used_at >= self.host.pool.reuse_seconds
-            or self.reader.buffered_bytes
-            or channel.unsent_bytes
-        ):
-            return False
-        return not channel.is_stale()
-
-    def data_received(self, data: bytes) -> bool:
-        """Handle the messages in `data`; returns whether more are buffered."""
-        self.host.last_received_at, self.host.failing_since = self.host.pool.reactor.clock(), None
-        try:
-            more = self.reader.read_messages(data, MAX_MESSAGES, self._handle_message)
-        except rtsp.RtspError as error:
-            self.host.link_malformed(self, str(error))
-            return False
-        if not more and not self.channel.closed:
-            self._watch_partial_message()
-        return more
-
-    def _handle_message(self, message: rtsp.Message) -> bool:
-        self.partial_since = None
-        self.host.handle_message(self, message)
-        return not self.channel.closed
-
-    def _watch_partial_message(self) -> None:
-        """Start the timeout for the rest of a partial message."""
-        reactor = self.host.pool.reactor
-        if self.reader.buffered_bytes and self.partial_since is None:
-            self.partial_since = reactor.clock()
-            reactor.call_at(self.partial_since + PARTIAL_MESSAGE_SECONDS, self._partial_message_timed_out)
-
-    def _partial_message_timed_out(self) -> None:
-        since, now = self.partial_since, self.host.pool.reactor.clock()
-        if not self.channel.closed and since is not None and now - since >= PARTIAL_MESSAGE_SECONDS:
-            self.host.link_malformed(self, "a message that stops short")
-
-    def connection_lost(self, cause: str) -> None:
-        """Report the end of the connection to the host."""
-        self.host.link_lost(self, cause)
-
-    def phase(self, attempt: Attempt) -> Phase:
-        """How far an attempt of this connection got: not connected, unsent, or (partly) sent."""
-        if not self.channel.is_connected:
-            return Phase.CONNECT
-        return Phase.SENT if self.channel.bytes_sent > attempt.offset else Phase.UNSENT
-
-
 class Host:
     """One media host: its connections, pending attempts and established sessions."""
 
--- a/tests/test_node_crossings.py
+++ b/tests/test_node_crossings.py
@@ -23,7 +23,8 @@
 from otterglade.node import hosts as node_hosts
 from otterglade.node.config import load_config
 from otterglade.node.gateway import Gateway
-from otterglade.node.hosts import LATE_ANSWER_SECONDS, Attempt, EstablishedSession, Host, HostPool, Link
+from otterglade.node.host_links import Attempt, Link
+from otterglade.node.hosts import LATE_ANSWER_SECONDS, EstablishedSession, Host, HostPool
 from otterglade.wire import rtsp
 
 from .platform import (
--- a/tests/test_node_hosts.py
+++ b/tests/test_node_hosts.py
@@ -13,7 +13,8 @@
 from otterglade.net.reactor import Reactor
 from otterglade.node import messages
 from otterglade.node.discovery import Discovery
-from otterglade.node.hosts import Attempt, Host, HostPool
+from otterglade.node.host_links import Attempt
+from otterglade.node.hosts import Host, HostPool
 from otterglade.wire import rtsp
 
 from .platform import (
