An end reported on a connection of no use is heard on the next one, opened in time

The answer to another set-up had been lost on the same connection.

Cause: the host writes an end on the connection of the session's set-up, and repeats it on the next connection that is opened. Host.maintain opened one, 0.4 s after the set-up, and no other: whether more are needed was judged by the last byte of the host as a whole, and the host was heard on its other connections. Link.overdue was set once a link, also where the replacement was never established.

Evidence: a scratch copy of the case that notes accepts: answer lost at 1.89 s, the one replacement at 2.25, end on the lost connection at 2.89, no accept at that host until the test ends at 13.9; the gateway closed the lost connection at 5.79. With the host's note of each second left out (the host is then silent) the same trial opened one after 2.5 s of silence and told the end after 1.97 s: the host's other connections hide the loss.

Change: core/connection_health.py judges each connection by its own unanswered requests (set-ups, probes, and releases and cancellations once hosts have been seen to answer these). A suspect one takes nothing new; while there is one, the host is due a connection each 3 s, and one more after its close. It is closed by its writing side first, so that the host's own close proves that the rest has arrived; without that proof connections stay due while sessions of that time stand. Releases and rungs that were sent on it go out again, and a set-up that ran without an answer is released on another connection (it played on for ever). Connections are opened at most once a second for suspicions alone.

--- a/otterglade/net/reactor.py
+++ b/otterglade/net/reactor.py
@@ -371,6 +371,11 @@
         if not self._unsent:
             self._shut_down_writes()
 
+    def end_writing(self) -> None:
+        """Tell the peer that nothing more will be sent. Its input and its end are still passed on."""
+        with contextlib.suppress(OSError):  # its end is reported by the next read
+            self._sock.shutdown(socket.SHUT_WR)
+
     def _shut_down_writes(self) -> None:
         with contextlib.suppress(OSError):  # the peer may have closed first; the close is scheduled anyway
             self._sock.shutdown(socket.SHUT_WR)
--- a/otterglade/node/host_links.py
+++ b/otterglade/node/host_links.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from ..core.connection_health import UnansweredRequests
 from ..core.outcomes import Phase
 from ..net.reactor import Channel
 from ..wire import rtsp
@@ -13,6 +14,8 @@
 if TYPE_CHECKING:
     from .hosts import Host
 
+CLOSE_SECONDS = 1.0
+"""Seconds to wait for a host's close of a connection that was closed from here."""
 MAX_MESSAGES = 32
 """Messages of one connection that are handled in one iteration of the event loop."""
 PARTIAL_MESSAGE_SECONDS = 0.25
@@ -53,7 +56,12 @@
         self.last_used_at = host.pool.reactor.clock()
         """When something was last sent: the host's timeout for idle connections may start here."""
         self.partial_since: float | None = None
-        self.overdue = False
+        self.unanswered = UnansweredRequests(host.pool.answered_kinds)
+        self.opened_at = self.last_received_at = self.last_used_at
+        self.is_suspect = False
+        """Whether an answer is missing and nothing was received since: it may be of no further use."""
+        self.is_retired = False
+        """Whether its writing side is closed, and the host's close is awaited."""
         self.channel = Channel.open(host.pool.reactor, host.address, self, timeout)
 
     def send(self, data: bytes) -> None:
@@ -63,9 +71,14 @@
 
     def connection_made(self) -> None:
         """Report to the host that the connection is established."""
-        self.connected_at = self.host.pool.reactor.clock()
+        self.connected_at = self.last_received_at = self.host.pool.reactor.clock()
         self.host.link_connected(self)
 
+    @property
+    def is_usable(self) -> bool:
+        """Whether messages may be sent on it."""
+        return self.channel.is_connected and not (self.channel.closed or self.draining or self.is_suspect)
+
     @property
     def is_reusable(self) -> bool:
         """Whether a new set-up can be sent without crossing anything: the host's close of an idle connection,
@@ -81,7 +94,8 @@
 
     def data_received(self, data: bytes) -> bool:
         """Handle the messages in `data`; returns whether more are buffered."""
-        self.host.last_received_at, self.host.failing_since = self.host.pool.reactor.clock(), None
+        self.last_received_at = self.host.last_received_at = self.host.pool.reactor.clock()
+        self.host.failing_since, self.is_suspect = None, False
         try:
             more = self.reader.read_messages(data, MAX_MESSAGES, self._handle_message)
         except rtsp.RtspError as error:
@@ -108,6 +122,17 @@
         if not self.channel.closed and since is not None and now - since >= PARTIAL_MESSAGE_SECONDS:
             self.host.link_malformed(self, "a message that stops short")
 
+    def retire(self) -> None:
+        """Close the writing side: the host's own close then proves that all it has written has arrived. If it
+        does not come within `CLOSE_SECONDS`, the connection is closed without that proof."""
+        self.is_retired = self.draining = True
+        if self.channel.unsent_bytes:
+            self.host.link_not_closed(self)
+            return
+        self.channel.end_writing()
+        reactor = self.host.pool.reactor
+        reactor.call_at(reactor.clock() + CLOSE_SECONDS, lambda: self.host.link_not_closed(self))
+
     def connection_lost(self, cause: str) -> None:
         """Report the end of the connection to the host."""
         self.host.link_lost(self, cause)
--- a/otterglade/node/hosts.py
+++ b/otterglade/node/hosts.py
@@ -19,6 +19,7 @@
 from typing import Protocol
 
 from ..core import interface as api
+from ..core.connection_health import AnsweredKinds, RepeatSchedule, RequestKind
 from ..core.outcomes import FailureKind, Phase, outcome_of_failure
 from ..net.reactor import Address, Reactor
 from ..wire import rtsp
@@ -40,9 +41,6 @@
 """Seconds for which a late answer to a cancelled set-up is expected, to release the session it reports."""
 CROSSING_SECONDS = 0.25
 """Seconds that a message and the answer that crosses it may be on their way."""
-OVERDUE_SECONDS = 0.4
-"""Seconds without an answer to a set-up after which its connection may be unusable: another one is opened, on
-which the host can send what it could not send on the first."""
 MAX_REMEMBERED = 1024
 """Entries kept per host in each of: cancelled set-ups, pending releases, ended sessions, early rungs."""
 IDLE_CLOSE_MARGIN_SECONDS = 1.0
@@ -97,6 +95,15 @@
     established_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class SentRung:
+    """A rung that was sent for a session, which wants no answer; `sent_at`: seconds."""
+
+    number: int
+    link: Link
+    sent_at: float
+
+
 class Host:
     """One media host: its connections, pending attempts and established sessions."""
 
@@ -114,14 +121,23 @@
         """Cancelled set-ups and the times of cancellation: a late positive answer to one is released."""
         self.pending_releases: dict[bytes, float] = {}
         """Releases to send on the next established connection, and since when they are pending."""
+        self.pending_rungs: dict[bytes, int] = {}
+        """Rungs to send again on the next established connection."""
         self.unacknowledged_releases: OrderedDict[bytes, tuple[Link, float]] = OrderedDict()
-        """Releases that were sent and not yet answered: a reset may have discarded them."""
+        """Releases that were sent and not yet answered, and since when they are due: they may not have
+        arrived."""
+        self.repeats = RepeatSchedule()
+        self.not_closed_at: float | None = None
+        """When a suspect connection was closed without proof that the host knows: it may still report there
+        what concerns the sessions of that time."""
         self.ended_sessions: OrderedDict[bytes, tuple[float, api.Outcome]] = OrderedDict()
         """Ended sessions, the time and the outcome: a host reports an end again on its next connection, and
         the hand-over of a session may come after its end."""
         self.early_rungs: OrderedDict[bytes, tuple[float, int]] = OrderedDict()
         """Rungs reported for unknown sessions, and when: a host reports them as soon as a connection is
         established, while hand-overs are still being read."""
+        self.rungs: dict[bytes, SentRung] = {}
+        """The last rung sent for each session: its connection may not have delivered it."""
         self.last_received_at = pool.reactor.clock()
         self.failing_since: float | None = None
         """Since when no connection could be established; None: the last one could."""
@@ -156,6 +172,7 @@
             self.pool.reactor.clock(),
         )
         link.attempts[attempt.session] = attempt
+        link.unanswered.add(attempt.session, RequestKind.SETUP, attempt.queued_at)
         link.recent_sessions[attempt.session] = None
         if len(link.recent_sessions) > MAX_RECENT_SESSIONS:
             link.recent_sessions.popitem(last=False)
@@ -186,11 +203,7 @@
             self._withdraw_unsent(link)
 
     def _select_link(self, session: bytes) -> Link | None:
-        usable = [
-            x
-            for x in self.links
-            if x.channel.is_connected and not x.draining and session not in x.recent_sessions
-        ]
+        usable = [x for x in self.links if x.is_usable and session not in x.recent_sessions]
         for link in usable:
             if link is not self.control and not link.attempts and not link.probes and link.is_reusable:
                 return link
@@ -228,6 +241,7 @@
         del link.attempts[session]
         if phase is Phase.SENT:
             link.send(messages.teardown(session, None))
+            link.unanswered.cancel(session, self.pool.reactor.clock(), late)
             self.cancelled[session] = self.pool.reactor.clock()
             if len(self.cancelled) > MAX_REMEMBERED:
                 self.cancelled.popitem(last=False)
@@ -242,6 +256,7 @@
     def _finish_attempt(self, attempt: Attempt, outcome: api.Outcome, load: api.Load | None = None) -> None:
         if self.attempts.get(attempt.session) is attempt:
             del self.attempts[attempt.session]
+            self.rungs.pop(attempt.session, None)
         if attempt.link is not None:
             attempt.link.attempts.pop(attempt.session, None)
         self.pool.owner.attempt_ended(attempt.number, attempt.attempt, outcome, load)
@@ -276,14 +291,20 @@
         self._remember_end(session, api.Outcome.CANCELLED)
         link = self._message_link()
         if link is not None:
-            self._send_release(link, session, message or messages.teardown(session, 31))
+            self._send_release(link, session, message)
         else:
             self._defer_release(session, self.pool.reactor.clock())
         return link is not None
 
-    def _send_release(self, link: Link, session: bytes, message: bytes) -> None:
-        link.send(message)
-        self.unacknowledged_releases[session] = link, link.last_used_at
+    def _send_release(
+        self, link: Link, session: bytes, message: bytes | None = None, since: float | None = None
+    ) -> None:
+        """Send a release. `message`: one that wants no answer, by default a TEARDOWN; `since`: when it became
+        due, if it is sent again."""
+        link.send(message or messages.teardown(session, 31))
+        if message is None:
+            link.unanswered.add(session, RequestKind.RELEASE, link.last_used_at)
+        self.unacknowledged_releases[session] = link, link.last_used_at if since is None else since
         self.unacknowledged_releases.move_to_end(session)
         if len(self.unacknowledged_releases) > MAX_REMEMBERED:
             self.unacknowledged_releases.popitem(last=False)
@@ -301,6 +322,7 @@
     def forget_session(self, session: bytes) -> None:
         """Stop tracking a session."""
         self.established.pop(session, None)
+        self.rungs.pop(session, None)
 
     def set_rung(self, session: bytes, number: int) -> None:
         """Send a rung for a session, on the connection of its set-up if that is pending."""
@@ -311,17 +333,14 @@
             link = self.control
         if link is not None:
             link.send(messages.set_rung(session, number))
+            self.rungs[session] = SentRung(number, link, link.last_used_at)
 
     def _message_link(self) -> Link | None:
         """The connection for messages that belong to no particular one; None: there is none."""
-        usable = [
-            x
-            for x in self.links
-            if x.channel.is_connected and not x.channel.closed and not self._may_be_closed(x)
-        ]
+        usable = [x for x in self.links if x.is_usable and not self._may_be_closed(x)]
         if self.control in usable:
             return self.control
-        return next((x for x in usable if not x.draining), None)
+        return next(iter(usable), None)
 
     def _may_be_closed(self, link: Link) -> bool:
         """Whether the host may be closing a link as idle: a release that crosses the close would be lost."""
@@ -337,8 +356,16 @@
             and not control.attempts
         ):
             control.draining, self.control = True, None
-        if self.control is None and not self.is_replaced and self.pool.reactor.clock() >= self.retry_at:
+        now = self.pool.reactor.clock()
+        if self.is_replaced or now < self.retry_at:
+            return
+        if self.control is None:
             self.control = self._open_link()
+        elif not self.control.is_usable and now >= self.repeats.next_at and self._all_connected():
+            self._open_link()  # takes its place once it is established
+
+    def _all_connected(self) -> bool:
+        return all(x.channel.is_connected for x in self.links)
 
     @property
     def is_replaced(self) -> bool:
@@ -368,6 +395,7 @@
             return
         session = os.urandom(8).hex().encode("ascii")
         link.probes[session] = now
+        link.unanswered.add(session, RequestKind.PROBE, now)
         link.send(messages.load_probe(session))
         self.pool.reactor.call_at(
             now + self.pool.connect_timeout, lambda: self._probe_timed_out(link, session)
@@ -395,6 +423,7 @@
         session, status = message.session, message.status
         if status < 200:
             return
+        link.unanswered.answer(session)
         if message.fields.get(b"cseq") == b"2":
             self.unacknowledged_releases.pop(session, None)
         sent_at = link.probes.pop(session, None)
@@ -425,6 +454,8 @@
     def _handle_teardown(self, message: rtsp.Message) -> None:
         session, cause = message.session, message.cause or 0
         self.unacknowledged_releases.pop(session, None)
+        for link in self.links:
+            link.unanswered.discard(session)
         attempt, established = self.attempts.get(session), self.established.pop(session, None)
         outcome, load = messages.OUTCOME_BY_CAUSE.get(cause, api.Outcome.RESET), messages.parse_load(message)
         if established is not None:
@@ -440,6 +471,8 @@
         established = self.established.get(message.session)
         if established is None:
             self._store_early_rung(message)
+        elif isinstance(messages.parse_note(message, self.number), int):
+            self.rungs.pop(message.session, None)  # the host has it, or has chosen another since
         self.pool.owner.note_received(self.number, established.number if established else None, message)
 
     def _store_early_rung(self, message: rtsp.Message) -> None:
@@ -467,39 +500,70 @@
         self._withdraw_unsent(link)
         if link.channel.closed:
             return
-        for session in self.pending_releases:
-            self._send_release(link, session, messages.teardown(session, 31))
-        self.pending_releases.clear()
+        self.repeats.connection_established(link.opened_at)
+        if self.control is not None and not self.control.is_usable and not link.attempts:
+            self.control = link
+        self._send_pending()
 
     def link_malformed(self, link: Link, reason: str) -> None:
         """Close a connection with unreadable bytes or an incomplete answer: nothing on it can be trusted."""
         self.pool.log(f"{self.name}: {reason}")
         self._close_link(link, FailureKind.MALFORMED)
-        self._open_replacement()
+        self._send_pending()
+        self._report_loss()
 
-    def _open_replacement(self) -> None:
-        """Open a connection on which the host can repeat what it could not deliver."""
-        if self.established and not self.is_replaced and self.pool.reactor.clock() >= self.retry_at:
+    def link_not_closed(self, link: Link) -> None:
+        """Close a retired connection whose host did not close it in time."""
+        if not link.channel.closed:
+            self._close_link(link, FailureKind.BROKEN)
+            self.not_closed_at = self.pool.reactor.clock()
+            self._send_pending()
+            self._report_loss(suspected=True)
+
+    def _report_loss(self, suspected: bool = False) -> None:
+        """The host may have reported something on a connection that has ended without delivering it.
+        `suspected`: for a while already."""
+        now = self.pool.reactor.clock()
+        if suspected:
+            self.repeats.report_suspicion(now)
+        else:
+            self.repeats.report_loss(now)
+        self._open_due_link(now)
+
+    def _open_due_link(self, now: float) -> None:
+        """Open a connection on which the host repeats what it could not deliver, if one is due."""
+        if not self.established:
+            self.repeats.reset()
+            self.not_closed_at = None
+            return
+        still_losing = any(x.is_suspect for x in self.links) or self._may_report_on_closed_link()
+        is_due = now >= max(self.repeats.due_at(still_losing), self.retry_at)
+        if is_due and not self.is_replaced and self._all_connected():
             link = self._open_link()
-            if self.control is None:
-                self.control = link
+            self.control = self.control or link
+
+    def _may_report_on_closed_link(self) -> bool:
+        """Whether a session stands from a time when the host may not have known of a connection's close."""
+        oldest = next(iter(self.established.values()), None)
+        return oldest is not None and oldest.established_at <= (self.not_closed_at or -math.inf)
 
     def link_lost(self, link: Link, cause: str) -> None:
         """Handle the end of a connection; `cause` as in `Handler.connection_lost`."""
         failure = {"refused": FailureKind.REFUSED, "timed out": FailureKind.TIMED_OUT}.get(
             cause, FailureKind.BROKEN
         )
-        was_connected = link.channel.is_connected
+        was_connected, was_suspect = link.channel.is_connected, link.is_suspect
         self._close_link(link, failure)
         if was_connected:
-            if cause == "reset":
-                self._open_replacement()
+            self._send_pending()
+            if cause == "reset" or was_suspect:
+                self._report_loss(suspected=was_suspect)
             elif not self.is_idle:
                 self.ensure_control()
             return
         now = self.pool.reactor.clock()
         self.retry_at = now + RECONNECT_SECONDS
-        has_open_link = any(x.channel.is_connected and not x.draining for x in self.links)
+        has_open_link = any(x.channel.is_connected and (x.is_suspect or not x.draining) for x in self.links)
         # A listed host may refuse a further connection and go on with those that it has. A host that is no
         # longer listed is gone, though its last connections may be closed later or never.
         if cause == "refused" and (self.is_unlisted or not has_open_link):
@@ -536,15 +600,48 @@
             if phase is Phase.ANSWER or phase is Phase.SENT:
                 self._send_or_defer_release(attempt.session)  # it may have set up a session
             self._finish_attempt(attempt, outcome_of_failure(phase, failure))
+        self._repeat_messages(link)
+        self._release_cancelled_setups(link)
         outcome = outcome_of_failure(Phase.SENT if link.channel.is_connected else Phase.CONNECT, failure)
-        for session, (sent_on, sent_at) in list(self.unacknowledged_releases.items()):
-            if sent_on is link:
-                del self.unacknowledged_releases[session]
-                if now - sent_at < PENDING_RELEASE_SECONDS:
-                    self._defer_release(session, sent_at)
         for sent_at in probes:
             self.pool.owner.probe_answered(self.number, outcome, now - sent_at, None)
 
+    def _repeat_messages(self, link: Link) -> None:
+        """Note the releases and rungs as pending that may not have arrived on a connection."""
+        now = self.pool.reactor.clock()
+        for session, (sent_on, since) in list(self.unacknowledged_releases.items()):
+            if sent_on is link:
+                del self.unacknowledged_releases[session]
+                if now - since < PENDING_RELEASE_SECONDS:
+                    self._defer_release(session, since)
+        for session, rung in self.rungs.items():
+            if rung.link is link and rung.sent_at >= link.last_received_at - CROSSING_SECONDS:
+                self.pending_rungs[session] = rung.number
+
+    def _release_cancelled_setups(self, link: Link) -> None:
+        """Note releases as pending of what cancelled set-ups may have left at the host, if it may not have
+        read the cancellations."""
+        for session in link.unanswered.cancelled_setups():
+            link.unanswered.discard(session)
+            if session not in self.attempts and session not in self.established:
+                self._remember_end(session, api.Outcome.CANCELLED)
+                self._defer_release(session, self.pool.reactor.clock())
+
+    def _send_pending(self) -> None:
+        """Send the pending releases and rungs, if there is a connection for them."""
+        if not (self.pending_releases or self.pending_rungs):
+            return
+        link = self._message_link()
+        if link is None:
+            return
+        releases, self.pending_releases = self.pending_releases, {}
+        for session, since in releases.items():
+            self._send_release(link, session, since=since)
+        rungs, self.pending_rungs = self.pending_rungs, {}
+        for session, number in rungs.items():
+            if session in self.established:
+                self.set_rung(session, number)
+
     def _remove_link(self, link: Link) -> None:
         if link in self.links:
             self.links.remove(link)
@@ -605,21 +702,14 @@
             and next(iter(self.unacknowledged_releases.values()))[1] < now - PENDING_RELEASE_SECONDS
         ):
             self.unacknowledged_releases.popitem(last=False)
+        self._find_suspect_links(now)
         self._close_idle_links(now)
+        self._send_pending()
         if self.pending_releases and max(self.pending_releases.values()) > now - PENDING_RELEASE_SECONDS:
             self.ensure_control()
         if self.is_idle:
+            self._open_due_link(now)
             return
-        for attempt in list(self.attempts.values()):
-            link = attempt.link
-            if (
-                link is not None
-                and not link.overdue
-                and link.channel.is_connected
-                and now - attempt.queued_at > OVERDUE_SECONDS
-            ):
-                link.overdue = True
-                self._open_replacement()
         if self.is_replaced:
             self.close()
             self.mark_lost("another host has its address", silent=False)
@@ -637,11 +727,26 @@
             old.draining, old.last_used_at = True, now
             self.retry_at = now + RECONNECT_SECONDS
             self.control = self._open_link()
+        else:
+            self._open_due_link(now)
+
+    def _find_suspect_links(self, now: float) -> None:
+        """Use connections no more on which an answer is missing, except for their own set-ups."""
+        for link in self.links:
+            is_overdue = link.unanswered.is_overdue(now, link.last_received_at)
+            if is_overdue and not link.is_suspect and link.channel.is_connected:
+                link.is_suspect = True
+                self._repeat_messages(link)
+                self.repeats.report_suspicion(now)
+            if link.is_suspect and not link.attempts:
+                link.draining = True
 
     def _close_idle_links(self, now: float) -> None:
         idle_links = 0
         for link in list(self.links):
             may_be_closed = self._may_be_closed(link)
+            if link.is_retired:
+                continue
             if (
                 link.attempts
                 or link.probes
@@ -657,6 +762,10 @@
             ):
                 if link.channel.is_stale() or link.reader.buffered_bytes:
                     continue  # read it first: it may be the only report of a session's end
+                if link.is_suspect:
+                    self._release_cancelled_setups(link)
+                    link.retire()
+                    continue
                 link.channel.close()
                 self._remove_link(link)
 
@@ -681,6 +790,7 @@
             max(idle_close - IDLE_CLOSE_MARGIN_SECONDS, idle_close / 2) if idle_close > 0 else math.inf
         )
         """Seconds for which an idle connection is reused."""
+        self.answered_kinds = AnsweredKinds()
         self.by_number: dict[int, Host] = {}
         self._number_by_address: dict[Address, int] = {}
 
