Slow answers of the name service are accepted for as long as a list may take

The repeated queries also doubled the load of a service that is slow because it is crowded.

Change: node/pending_queries.py keeps a query for 6 s, by the clock. An answer is believed alone only if it is to one of the last 8 queries, as many ids as before; to an older one another answer has to confirm it, so that accepting answers for longer makes none easier to forge. While answers keep coming a slow service is asked each 0.3 s, like a fast one. An answer that was overtaken by a newer one is no failure of the service any more.

--- a/otterglade/node/discovery.py
+++ b/otterglade/node/discovery.py
@@ -5,26 +5,25 @@
 
 Serials are compared according to RFC 1982. A lower one always belongs to an older list, also after a new
 configuration, as the numbers continue. A list without hosts may be a faulty answer and would end every
-session: it is applied only when the answer to another query confirms it.
+session: it is applied only when the answer to another query confirms it. So is the late answer to a query
+that many others have followed.
 """
 
 from __future__ import annotations
 
 import os
 import socket
-from collections import OrderedDict
 from collections.abc import Callable
 
 from ..net.reactor import Address, Reactor
 from ..wire import dns
+from .pending_queries import PendingQueries, Query
 
 SERVICE_NAME = "_api._tcp.svc.local"
 QUERY_INTERVAL_SECONDS = 0.3
 """Seconds between two queries when the answers are good."""
 RETRY_INTERVAL_SECONDS = 0.15
-"""Seconds until the next query after an invalid answer, or without one."""
-MAX_PENDING_QUERIES = 8
-"""Queries whose answers are still accepted: an answer may arrive after the next query was sent."""
+"""Seconds until the next query after an invalid answer, or without one that was to be expected by then."""
 MAX_DATAGRAMS = 32
 """Datagrams read in one iteration of the event loop; further ones wait for the next."""
 
@@ -52,7 +51,14 @@
         self.serial = serial
         self._resolver = resolver
         self._sock: socket.socket | None = None
-        self._pending_queries: OrderedDict[int, None] = OrderedDict()
+        self._pending_queries = PendingQueries()
+        self._list_query = Query(0, 0.0)
+        """The query whose answer was the current list."""
+        self._unconfirmed: dns.HostList | None = None
+        """The last list of a late answer, which another answer has to confirm."""
+        self._answer_took = 0.0
+        """Seconds that the last answer took."""
+        self._last_answer_at = 0.0
         self._current_answer = b""
         self._empty_list_seen = False
         """A newer list without hosts was received once, and another query was sent to confirm it."""
@@ -87,6 +93,8 @@
             return
         self._sock = sock
         self._pending_queries.clear()
+        self._unconfirmed, self._empty_list_seen = None, False
+        self._answer_took = 0.0
 
     def query(self) -> None:
         """Send a query now, in addition to the periodic ones."""
@@ -95,9 +103,7 @@
         if self._sock is None:
             return
         query_id = int.from_bytes(os.urandom(2), "big")
-        self._pending_queries[query_id] = None
-        while len(self._pending_queries) > MAX_PENDING_QUERIES:
-            self._pending_queries.popitem(last=False)
+        self._pending_queries.add(query_id, self._reactor.clock())
         try:
             self._sock.send(dns.build_query(query_id, SERVICE_NAME))
         except OSError as error:
@@ -107,7 +113,14 @@
         now = self._reactor.clock()
         self._answered = False
         self.query()
-        self._schedule_query(now + RETRY_INTERVAL_SECONDS)
+        self._schedule_query(now + self._retry_seconds(now))
+
+    def _retry_seconds(self, now: float) -> float:
+        """Seconds until the next query if no answer comes. A service that is slow, perhaps because it is
+        crowded, is not asked more often as long as its answers keep coming."""
+        is_slow = self._answer_took > RETRY_INTERVAL_SECONDS
+        is_answering = now - self._last_answer_at <= QUERY_INTERVAL_SECONDS + RETRY_INTERVAL_SECONDS
+        return QUERY_INTERVAL_SECONDS if is_slow and is_answering else RETRY_INTERVAL_SECONDS
 
     def _schedule_query(self, due_at: float) -> None:
         self._next_query_at = due_at
@@ -130,10 +143,11 @@
 
     def _handle_answer(self, data: bytes) -> None:
         query_id = int.from_bytes(data[:2], "big")
-        if query_id not in self._pending_queries:
+        query = self._pending_queries.find(query_id, self._reactor.clock())
+        if query is None:
             return
         if data[2:] == self._current_answer:  # the current list again: not parsed a second time
-            self._mark_answered(query_id)
+            self._mark_answered(query_id, query)
             return
         try:
             found = dns.parse_answer(data, query_id, SERVICE_NAME)
@@ -142,29 +156,41 @@
             return
         if found.serial == self.serial:
             self._current_answer = data[2:]
-        elif not is_newer(found.serial, self.serial):
+            self._mark_answered(query_id, query)
+        elif is_newer(found.serial, self.serial):
+            self._handle_newer_list(found, query_id, query, data)
+        elif query.number <= self._list_query.number:  # answers to earlier queries may overtake each other
+            self._mark_answered(query_id, query)
+        else:
             self._report_failure(f"an older list: {found.serial}, held is {self.serial}")
-            return
-        elif not found.hosts and not self._empty_list_seen:
-            del self._pending_queries[query_id]  # a duplicate of the same answer must not confirm itself
+
+    def _handle_newer_list(self, found: dns.HostList, query_id: int, query: Query, data: bytes) -> None:
+        """Apply a newer list, unless another answer has to confirm it."""
+        if not found.hosts and not self._empty_list_seen:
+            self._pending_queries.remove(query_id)  # a duplicate of the same answer must not confirm itself
             self._empty_list_seen = True
             self._report_failure("a list without any host")
             self.query()
             return
-        self._empty_list_seen = False
-        self._mark_answered(query_id)
-        if found.serial != self.serial:
-            self.serial, self._current_answer = found.serial, data[2:]
-            self._on_list(found)
+        self._mark_answered(query_id, query)
+        if found.hosts and not self._pending_queries.is_credible(query) and found != self._unconfirmed:
+            self._unconfirmed = found
+            return
+        self.serial, self._current_answer, self._list_query = found.serial, data[2:], query
+        self._unconfirmed = None
+        self._on_list(found)
 
-    def _mark_answered(self, query_id: int) -> None:
-        del self._pending_queries[query_id]
+    def _mark_answered(self, query_id: int, query: Query) -> None:
+        self._pending_queries.remove(query_id)
+        self._empty_list_seen = False
+        self._last_answer_at = self._reactor.clock()
+        self._answer_took = self._last_answer_at - query.sent_at
         if self._failing:
             self._failing = False
             self._log("name service: answers again")
         if not self._answered:
             self._answered = True
-            self._schedule_query(self._reactor.clock() + QUERY_INTERVAL_SECONDS)
+            self._schedule_query(self._last_answer_at + QUERY_INTERVAL_SECONDS)
 
     def _report_failure(self, reason: str) -> None:
         if not self._failing:
--- a/tests/test_node_discovery.py
+++ b/tests/test_node_discovery.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import heapq
 import itertools
 import os
+import random
 import resource
 import select
 import socket
@@ -20,12 +22,12 @@
 from otterglade.node.config import load_config
 from otterglade.node.discovery import (
     MAX_DATAGRAMS,
-    MAX_PENDING_QUERIES,
     QUERY_INTERVAL_SECONDS,
     RETRY_INTERVAL_SECONDS,
     Discovery,
 )
 from otterglade.node.gateway import Gateway
+from otterglade.node.pending_queries import CREDIBLE_QUERIES, MAX_PENDING_QUERIES
 from otterglade.wire import dns
 
 from .platform import WAIT, Platform, dns_answer, settings
@@ -210,6 +212,120 @@
     assert not script.lists
 
 
+class SlowService:
+    """Answers the queries of a fixture after a time of their own, with the list as it is then."""
+
+    def __init__(self, script: DiscoveryFixture, delay: Callable[[], float | None]) -> None:
+        """`delay`: draws the seconds that an answer takes, None: it is lost."""
+        self.script, self.delay = script, delay
+        self.serial = KNOWN_SERIAL
+        self.first_sent_at: dict[int, float] = {}
+        self.applied_at: dict[int, float] = {}
+        self._received = 0
+        self._due: list[tuple[float, int, bytes]] = []
+
+    def advance(self, seconds: float) -> None:
+        """Advance the clock in small steps; queries and answers of a step are handled in it."""
+        script, until = self.script, self.script.now + seconds
+        while script.now < until:
+            script.advance(0.01)
+            while self._received < script.query_count:
+                self._received += 1
+                query, delay = script.service.receive_query(), self.delay()
+                if delay is not None:
+                    heapq.heappush(self._due, (script.now + delay, self._received, query))
+            while self._due and self._due[0][0] <= script.now:
+                _, _, query = heapq.heappop(self._due)
+                self.first_sent_at.setdefault(self.serial, script.now)
+                script.send(list_answer(query, self.serial, f"h{self.serial}"))
+                self.applied_at.setdefault(script.names.serial, script.now)
+
+
+GRACE_SECONDS = 0.25
+"""Seconds after which nothing new may go to a host since its drain was told (the sites' settings)."""
+TOLD_SECONDS = 1.5
+"""Seconds after an event at which it counts as told (protocol page)."""
+
+
+@pytest.mark.parametrize("seconds", [0.1, 0.3, 0.9, 1.1, 1.3, 1.45, 1.49])
+def test_event_is_applied_in_time_however_slow_the_answers_are(
+    script: DiscoveryFixture, seconds: float
+) -> None:
+    """Guards against a name service whose slow answers are never accepted: drains would not be heard."""
+    delays = [0.0]
+    slow = SlowService(script, lambda: delays[0])
+    slow.advance(2.0)
+    delays[0] = seconds
+    queries, began = script.query_count, script.now
+    for wait in (1.7, 0.9, 0.1, 1.3, 2.0, 0.6):
+        slow.advance(wait)
+        slow.serial += 1
+    slow.advance(3.0)
+    assert script.names.serial == slow.serial
+    for serial, sent_at in slow.first_sent_at.items():
+        assert slow.applied_at[serial] - sent_at <= GRACE_SECONDS
+    # While its answers come, a slow service is asked as often as a fast one; before, at the usual retries.
+    until_known = seconds / RETRY_INTERVAL_SECONDS
+    assert script.query_count - queries <= (script.now - began) / QUERY_INTERVAL_SECONDS + until_known + 2
+
+
+@pytest.mark.parametrize("seconds", [2.5, 4.0, 5.5])
+def test_answers_slower_than_the_page_allows_are_applied_too(
+    script: DiscoveryFixture, seconds: float
+) -> None:
+    """Guards against a gateway that knows nothing for as long as its name service is slow."""
+    slow = SlowService(script, lambda: seconds)
+    slow.advance(1.0)
+    slow.serial += 1
+    slow.advance(2.0 * seconds + 1.0)
+    assert slow.applied_at[slow.serial] - slow.first_sent_at[slow.serial] <= 2.0 * QUERY_INTERVAL_SECONDS
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_event_is_applied_if_answers_are_slow_overtake_each_other_and_get_lost(
+    script: DiscoveryFixture, seed: int
+) -> None:
+    """A tenth of the answers is lost, the others take 0.3 to 1.49 s: late ones hold an older list."""
+    rng = random.Random(seed)
+    slow = SlowService(script, lambda: None if rng.random() < 0.1 else rng.uniform(0.3, 1.49))
+    happened_at: dict[int, float] = {}
+    for _ in range(30):
+        slow.advance(rng.uniform(0.1, 2.0))
+        slow.serial += 1
+        happened_at[slow.serial] = script.now
+    slow.advance(3.0)
+    assert script.names.serial == slow.serial
+    assert script.serials() == sorted(set(script.serials()))
+    for serial, happened in happened_at.items():
+        applied = min(at for known, at in slow.applied_at.items() if known >= serial)
+        assert applied <= happened + TOLD_SECONDS + GRACE_SECONDS
+    assert not script.log_lines, "answers that overtake each other are no failure"
+
+
+def test_forged_answer_to_an_old_query_is_not_believed(script: DiscoveryFixture) -> None:
+    """Only the last few ids are worth a guess, as many as before answers were accepted for longer."""
+    queries = [script.service.receive_query()]
+    for _ in range(3 * CREDIBLE_QUERIES):
+        script.advance(RETRY_INTERVAL_SECONDS + 0.01)
+        queries.append(script.service.receive_query())
+    for index, query in enumerate(queries[:-CREDIBLE_QUERIES]):
+        script.send(list_answer(query, 42 + index, "forged"), list_answer(query, 42 + index, "forged"))
+    assert not script.lists and script.names.serial == KNOWN_SERIAL
+    script.send(list_answer(queries[-CREDIBLE_QUERIES], 42, "h1"))
+    assert script.serials() == [42]
+
+
+def test_late_answer_is_applied_once_another_one_confirms_it(script: DiscoveryFixture) -> None:
+    queries = [script.service.receive_query()]
+    for _ in range(CREDIBLE_QUERIES + 1):
+        script.advance(RETRY_INTERVAL_SECONDS + 0.01)
+        queries.append(script.service.receive_query())
+    script.send(list_answer(queries[0], 42, "h1"), list_answer(queries[0], 42, "h1"))
+    assert not script.lists, "a second copy of an answer confirms nothing"
+    script.send(list_answer(queries[1], 42, "h1"))
+    assert script.serials() == [42]
+
+
 @pytest.mark.parametrize("kind", ["cut", "truncated", "error", "noise", "older"])
 def test_valid_answer_after_an_invalid_one_to_the_same_query_is_applied(
     script: DiscoveryFixture, kind: str
