A reload with the same resolver forgets no query that is about to be answered

What callers see: with configurations in quick succession and a slow name service no list is ever applied, as each SIGHUP opens a new socket and forgets the queries on their way. Cause: Discovery.change_resolver did so also where the address stays the same. Change: the socket and its queries are kept if the address is the same; a query is sent at once as before. Result: test_slow_answers_after_a_reload_with_the_same_resolver_are_applied (answers of 1.45 s, a reload each second) fails before (serial 41 held, 42 told) and passes; test_node_discovery, _full and _restarts pass, 99 of 99.

--- a/otterglade/node/discovery.py
+++ b/otterglade/node/discovery.py
@@ -70,8 +70,9 @@
 
     def change_resolver(self, resolver: Address) -> None:
         """Use another address of the name service; answers from the old one are ignored."""
-        self._resolver = resolver
-        self._open()
+        if resolver != self._resolver:
+            self._resolver = resolver
+            self._open()
         self._scheduled_query()
 
     def _open(self) -> None:
--- a/tests/test_node_discovery.py
+++ b/tests/test_node_discovery.py
@@ -302,6 +302,17 @@
     assert not script.log_lines, "answers that overtake each other are no failure"
 
 
+def test_slow_answers_after_a_reload_with_the_same_resolver_are_applied(script: DiscoveryFixture) -> None:
+    """Guards against reloads in a row, each of which forgets the queries that are about to be answered."""
+    slow = SlowService(script, lambda: 1.45)
+    slow.advance(2.0)
+    for _ in range(4):
+        script.names.change_resolver(script.service.address)
+        slow.serial = KNOWN_SERIAL + 1
+        slow.advance(1.0)
+    assert script.names.serial == slow.serial
+
+
 def test_forged_answer_to_an_old_query_is_not_believed(script: DiscoveryFixture) -> None:
     """Only the last few ids are worth a guess, as many as before answers were accepted for longer."""
     queries = [script.service.receive_query()]
