A release is sent on a viewer's connection that has only had refused set-ups

Cause: _shared_connection took connections that had a session or a test, others only in a shutdown. Change: the connection is chosen by trust: sessions, then valid set-ups, then tests; of equals the oldest. One that has sent nothing is sent nothing. So a stranger that passed a test comes after viewers that ask.

--- a/otterglade/node/frontend.py
+++ b/otterglade/node/frontend.py
@@ -13,6 +13,7 @@
 from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import IntEnum
 from typing import Protocol
 
 from ..core import interface as api
@@ -85,6 +86,18 @@
     """Whether its set-up has no answer yet."""
 
 
+class Trust(IntEnum):
+    """How likely a connection belongs to the viewers and not to a stranger."""
+
+    NONE = 0
+    """It has sent nothing."""
+    USED = 1
+    """A test, an invalid set-up, or a session that has ended."""
+    SETUP = 2
+    """Set-ups, all of them valid."""
+    SESSION = 3
+
+
 class ViewerConnection:
     """One viewer's connection; handler of its channel."""
 
@@ -104,6 +117,15 @@
         """When the last set-up was received; 0: none was."""
         self.channel = Channel(frontend.reactor, sock, self)
 
+    @property
+    def trust(self) -> Trust:
+        """How likely a message for another connection's session reaches its viewer here."""
+        if self.established:
+            return Trust.SESSION
+        if self.last_setup_at and not self.error_count:
+            return Trust.SETUP
+        return Trust.USED if self.was_used or self.last_setup_at else Trust.NONE
+
     def connection_made(self) -> None:
         """Accepted connections are established from the start."""
 
@@ -239,7 +261,7 @@
         """Whether exiting now would lose something: unread bytes of viewers, unsent data, connections that
         are still being closed, pending releases, new connections that wait for room. Pending releases are
         sent if there is a connection for them."""
-        self._send_pending_releases(shutting_down=True)
+        self._send_pending_releases()
         return (
             bool(self._pending_releases and self.viewers)
             or self.listener.paused
@@ -308,15 +330,17 @@
             self._make_room()  # connections to hosts may exceed their share
         self._send_pending_releases()
 
-    def _shared_connection(self, shutting_down: bool = False) -> ViewerConnection | None:
-        """A connection for messages without one of their own: one in use, in the shutdown (`shutting_down`)
-        also one that only sent a set-up. Not one that its viewer has closed, even if that is unread."""
-        active = (x for x in self.viewers if x.was_used or (shutting_down and x.last_setup_at))
-        return next((x for x in active if not x.channel.peer_closed()), None)
+    def _shared_connection(self) -> ViewerConnection | None:
+        """The most trusted connection for messages without one of their own, the oldest of equals. Not one
+        that its viewer has closed, even if that is unread."""
+        candidates = [x for x in self.viewers if x.trust > Trust.NONE and not x.channel.peer_closed()]
+        return max(candidates, key=lambda x: x.trust, default=None)
 
-    def _send_pending_releases(self, shutting_down: bool = False) -> None:
+    def _send_pending_releases(self) -> None:
         """Send the pending releases if a connection is open for them, and drop those that have expired."""
-        viewer, now = self._shared_connection(shutting_down), self.reactor.clock()
+        if not self._pending_releases:
+            return
+        viewer, now = self._shared_connection(), self.reactor.clock()
         for session, (message, expires_at) in list(self._pending_releases.items()):
             if viewer is not None:
                 self._send_release(viewer, session, message)
--- a/tests/test_node_gone.py
+++ b/tests/test_node_gone.py
@@ -336,6 +336,64 @@
     assert methods == ([] if acknowledged else [b"TEARDOWN"])
 
 
+class Refusing:
+    """Serves the first set-up and refuses all others as full."""
+
+    def __init__(self) -> None:
+        self.served: list[bytes] = []
+
+    def __call__(self, received: Received) -> None:
+        if received.message.method != b"SETUP":
+            return
+        if not self.served:
+            self.served.append(received.message.session)
+            accept(received)
+        else:
+            received.connection.send(rtsp.response(453, fields(received.message)))
+
+
+@pytest.mark.parametrize("how", ["resets", "closes"])
+@pytest.mark.parametrize("first", [True, False], ids=["ended before the set-ups", "ended after them"])
+def test_release_is_sent_on_a_connection_whose_set_ups_were_all_refused(
+    stepped: FrozenClockGateway, how: str, first: bool
+) -> None:
+    """The viewer comes again on another connection, which has no session: 1 s is allowed."""
+    s, session = stepped, new_session_id()
+    s.hosts[0].respond = Refusing()
+    sock, viewer = s.client()
+    sock.sendall(set_up(session))
+    s.run_until(lambda: session in viewer.established)
+    DEPARTURES[how](sock, session)
+    s.run_until(lambda: viewer not in s.gateway.frontend.viewers)
+    s.client()  # a stranger that says nothing is sent nothing
+    again, _ = s.client()
+    reader, received = rtsp.Reader(), list[rtsp.Message]()
+
+    def read() -> None:
+        while select.select([again], [], [], 0.0)[0]:
+            reader.feed(again.recv(1 << 20))
+        received.extend(iter(reader.next_message, None))
+
+    def is_told() -> bool:
+        read()
+        return any(x.method == b"TEARDOWN" and x.session == session for x in received)
+
+    def end() -> None:
+        s.received(b"SETUP", session)[0].connection.send(teardown(session))
+        s.run_until(lambda: session not in s.gateway.frontend.sessions)
+
+    if first:
+        end()
+    for _ in range(12):
+        again.sendall(set_up(new_session_id()))
+    s.run_until(lambda: read() or sum(x.status >= 400 for x in received) == 12, 0.001)
+    if not first:
+        end()
+    began = s.now
+    s.run_until(is_told, seconds_per_iteration=0.02)
+    assert s.now - began <= 1.0
+
+
 @pytest.mark.parametrize("stepped", [{"hosts": 1}], indirect=True)
 def test_session_is_released_at_its_host_if_the_close_of_its_viewer_is_unread(
     stepped: FrozenClockGateway,
