--- a/otterglade/node/discovery.py
+++ b/otterglade/node/discovery.py
@@ -22,6 +22,9 @@
 SERVICE_NAME = "_api._tcp.svc.local"
 QUERY_INTERVAL_SECONDS = 0.3
 """Seconds between two queries when the answers are good."""
+SLOW_QUERY_INTERVAL_SECONDS = 0.2
+"""The same when good answers take long: they come at irregular times, and a gap of 1.5 s would be too
+long."""
 RETRY_INTERVAL_SECONDS = 0.15
 """Seconds until the next query after an invalid answer, or without one that was to be expected by then."""
 MAX_DATAGRAMS = 32
@@ -117,11 +120,14 @@
         self._schedule_query(now + self._retry_seconds(now))
 
     def _retry_seconds(self, now: float) -> float:
-        """Seconds until the next query if no answer comes. A service that is slow, perhaps because it is
-        crowded, is not asked more often as long as its answers keep coming."""
-        is_slow = self._answer_took > RETRY_INTERVAL_SECONDS
+        """Seconds until the next query if no answer comes."""
+        return SLOW_QUERY_INTERVAL_SECONDS if self._is_slow(now) else RETRY_INTERVAL_SECONDS
+
+    def _is_slow(self, now: float) -> bool:
+        """Whether answers keep coming and take long, perhaps because the service is crowded: that an answer
+        is missing is no reason to ask at once."""
         is_answering = now - self._last_answer_at <= QUERY_INTERVAL_SECONDS + RETRY_INTERVAL_SECONDS
-        return QUERY_INTERVAL_SECONDS if is_slow and is_answering else RETRY_INTERVAL_SECONDS
+        return is_answering and self._answer_took > RETRY_INTERVAL_SECONDS
 
     def _schedule_query(self, due_at: float) -> None:
         self._next_query_at = due_at
@@ -189,7 +195,7 @@
         if self._failing:
             self._failing = False
             self._log("name service: answers again")
-        if not self._answered:
+        if not self._answered and not self._is_slow(self._last_answer_at):
             self._answered = True
             self._schedule_query(self._last_answer_at + QUERY_INTERVAL_SECONDS)
 
