An idle connection to a host is closed by its writing side first, so that no end is lost

Cause: _close_idle_links closed both directions at once; only what had arrived by then was read. Change: every such close is Link.retire, as for suspect connections: what the host writes until its own close is read. Result: test_end_that_crosses_the_gateways_close_of_an_idle_connection_is_told fails before, passes now.

--- a/otterglade/node/hosts.py
+++ b/otterglade/node/hosts.py
@@ -514,10 +514,12 @@
 
     def link_not_closed(self, link: Link) -> None:
         """Close a retired connection whose host did not close it in time."""
-        if not link.channel.closed:
-            self._close_link(link, FailureKind.BROKEN)
+        if link.channel.closed:
+            return
+        self._close_link(link, FailureKind.BROKEN)
+        self._send_pending()
+        if link.is_suspect:
             self.not_closed_at = self.pool.reactor.clock()
-            self._send_pending()
             self._report_loss(suspected=True)
 
     def _report_loss(self, suspected: bool = False) -> None:
@@ -764,10 +766,7 @@
                     continue  # read it first: it may be the only report of a session's end
                 if link.is_suspect:
                     self._release_cancelled_setups(link)
-                    link.retire()
-                    continue
-                link.channel.close()
-                self._remove_link(link)
+                link.retire()
 
 
 class HostPool:
--- a/tests/test_node_lost_answers.py
+++ b/tests/test_node_lost_answers.py
@@ -52,6 +52,9 @@
         self.released: list[bytes] = []
         self.rungs: dict[bytes, bytes] = {}
         self.lose_answers = False
+        self.ends_cross_closes = False
+        """Whether sessions end while the close of their connection is on its way."""
+        self.crossed: list[bytes] = []
         self.answers = True
         """Whether it answers set-ups at all."""
         threading.Thread(target=self._watch_connections, daemon=True).start()
@@ -72,6 +75,13 @@
 
     def _close_ended(self, connection: HostConnection) -> None:
         connection.ended.wait()
+        if self.ends_cross_closes:
+            with self.lock:
+                for session in [x for x, on in self.standing.items() if on is connection]:
+                    del self.standing[session]
+                    self.crossed.append(session)
+                    self.unrepeated.append(session)
+                    connection.send(self.release(session))
         if self.closes or connection not in self.of_no_use:
             connection.close()
 
@@ -274,6 +284,17 @@
         assert world.end_and_time(handed_over) <= TOLD_WITHIN_SECONDS
 
 
+def test_end_that_crosses_the_gateways_close_of_an_idle_connection_is_told(tmp_path: Path) -> None:
+    """Guards against an end that reaches a closed socket, while the host is heard on other connections."""
+    with one_host(tmp_path) as world:
+        world.establish(8)
+        world.media_host.ends_cross_closes = True
+        world.advance(5.0)
+        assert world.media_host.crossed, "no idle connection was closed"
+        world.advance(1.0)
+        assert all(world.is_told(x) for x in world.media_host.crossed)
+
+
 def control_connection(world: LostAnswers) -> HostConnection:
     """The host's side of the gateway's control connection."""
     control = world.host.control
