--- a/otterglade/lab/soak/discovery.py
+++ b/otterglade/lab/soak/discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import time
 from dataclasses import dataclass, replace
 from enum import Enum
@@ -23,6 +24,16 @@
     FAILING = "failing"
     OLD = "old"
     """It repeats an older list."""
+    SLOW = "slow"
+    """Its answers take a while and overtake each other, and some get lost."""
+
+
+SLOW_SECONDS = (0.3, 1.49)
+"""Range of the times that answers of a slow name service take; an event counts as told after 1.5 s."""
+SLOW_SPREAD_SECONDS = 0.3
+"""Range of these times while it is slow once."""
+SLOW_LOST_SHARE = 0.1
+"""Share of its answers that get lost."""
 
 
 @dataclass(slots=True)
@@ -76,6 +87,9 @@
         self._host = f"{network}.{230 + gateway}"
         self._transport: asyncio.DatagramTransport | None = None
         self._outage: Outage | None = None
+        self._chance = random.Random(gateway)
+        self._least_delay = 0.0
+        """Least seconds of an answer while it is slow."""
         self.service = Service.GOOD
         self.address: Address = ("", 0)
 
@@ -99,11 +113,12 @@
         elif self._transport is None:
             await self.open(self.address[1])
         self.service = service
+        self._least_delay = self._chance.uniform(*SLOW_SECONDS)
         now = time.time()
         if self._outage is not None:
             self._outage.ended_at = now
             self._outage = None
-        if service is not Service.GOOD:
+        if service not in (Service.GOOD, Service.SLOW):
             self._outage = Outage(self._gateway, now)
             self._records.outages.append(self._outage)
 
@@ -118,6 +133,17 @@
         """Answer a query."""
         if self._transport is None or self.service in (Service.SILENT, Service.DOWN):
             return
+        if self.service is not Service.SLOW:
+            self._answer(data, addr, self._transport)
+        elif self._chance.random() >= SLOW_LOST_SHARE:
+            drawn = self._least_delay + self._chance.uniform(0.0, SLOW_SPREAD_SECONDS)
+            delay = min(drawn, SLOW_SECONDS[1])
+            asyncio.get_running_loop().call_later(delay, self._answer, data, addr, self._transport)
+
+    def _answer(self, data: bytes, addr: tuple[str | Any, int], transport: asyncio.DatagramTransport) -> None:
+        """Send the list as it is now, unless the service has moved since."""
+        if transport is not self._transport:
+            return
         hosts, serial, flags = self._hosts.entries, self._hosts.serial, 0x8400
         if self.service is Service.OLD:
             serial, hosts = self._hosts.old
@@ -127,6 +153,6 @@
             ListedHost(x.name, x.addresses[self._gateway], x.cell, x.draining, started_ms=x.started_ms)
             for x in hosts.values()
         ]
-        self._transport.sendto(encode_list(data, serial, listed, flags), addr)
+        transport.sendto(encode_list(data, serial, listed, flags), addr)
         if self.service is not Service.FAILING:
             self._records.lists_sent.append(ListSent(self._gateway, serial, time.time()))
--- a/otterglade/lab/soak/hosts.py
+++ b/otterglade/lab/soak/hosts.py
@@ -108,7 +108,12 @@
             now = time.time()
             for link in list(self.links):
                 busy = any(x.link is link for x in self._pending.values())
-                if not busy and not link.is_held and now - link.used_at >= self._plan.idle_close:
+                if (
+                    not busy
+                    and not link.is_held
+                    and not link.is_of_no_use
+                    and now - link.used_at >= self._plan.idle_close
+                ):
                     link.close()
 
     # What gateways send
@@ -201,6 +206,8 @@
         attempt.description = self._describe()
         answer = rtsp.response(200, fields, attempt.description)
         standing = self._standing[attempt.session] = Standing(attempt.session, attempt.gateway, link)
+        if way is Way.LOSE:
+            self._lose(link, pending)
         await self._end_attempt(pending, answer)
         self._start(self._hold(standing))
         if way is Way.REPEAT:
@@ -209,6 +216,12 @@
         elif way is Way.CLOSE:
             link.close()
 
+    def _lose(self, link: Link, answered: Pending) -> None:
+        """Let nothing arrive on a connection any more: it is of no use for its other set-ups either."""
+        link.is_of_no_use = True
+        for session in [x for x, y in self._pending.items() if y.link is link and y is not answered]:
+            self._give_up(session)
+
     async def _hold(self, standing: Standing) -> None:
         await asyncio.sleep(self._chance.uniform(*HOLD_SECONDS))
         if self._standing.get(standing.session) is standing and not self.is_dead:
@@ -233,9 +246,10 @@
     async def _tell_end(self, link: Link, end: SessionEnd) -> None:
         fields = [(b"CSeq", b"2"), (b"Session", end.session), (b"Reason", b"cause=%d" % CAUSE_DONE)]
         written = await link.write(rtsp.request(b"TEARDOWN", EXCHANGE, fields))
-        told_at, readable = time.time(), link not in self._spoilt and not link.is_held
+        arrives = not (link in self._spoilt or link.is_held or link.is_of_no_use)
+        told_at = time.time()
         await asyncio.sleep(CROSSING_SECONDS)
-        if written and readable and not link.ended:  # else its gateway may have closed it before it arrived
+        if written and arrives and not link.ended:  # else its gateway may have closed it before it arrived
             end.told_at = min(end.told_at, told_at)
         elif end not in self._untold:
             self._untold.append(end)
--- a/otterglade/lab/soak/links.py
+++ b/otterglade/lab/soak/links.py
@@ -40,6 +40,8 @@
         self.gateway = 0
         self.ended = False
         self.used_at = time.time()
+        self.is_of_no_use = False
+        """Whether nothing arrives on it any more, in either direction, though it stays open."""
         self._held: list[bytes] | None = None
         self._reader = rtsp.Reader()
         self._begun_at = 0.0
@@ -61,7 +63,7 @@
     def data_received(self, data: bytes) -> None:
         """Pass on whole messages."""
         now = self.used_at = time.time()
-        if self._broken:
+        if self._broken or self.is_of_no_use:
             return
         if not self._reader.buffered_bytes:
             self._begun_at = now
@@ -124,7 +126,7 @@
         self.used_at = time.time()
         if self._held is not None:
             self._held.append(data)
-        else:
+        elif not self.is_of_no_use:
             self._transport.write(data)
         return True
 
--- a/otterglade/lab/soak/plan.py
+++ b/otterglade/lab/soak/plan.py
@@ -68,6 +68,8 @@
     """A success, and the connection is closed right behind it."""
     LATE = "late"
     """A success after its time."""
+    LOSE = "lose"
+    """A success that never arrives; its connection stays open, and nothing arrives on it any more."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -213,5 +215,6 @@
         Way.REPEAT: 0.03 if spoils else 0.0,
         Way.CLOSE: 0.05 if pieces else 0.0,
         Way.LATE: 0.03 if spoils else 0.0,
+        Way.LOSE: 0.05 if breaks else 0.0,
     }
     return Temper(tuple(shares.items()))
--- a/otterglade/lab/soak/run.py
+++ b/otterglade/lab/soak/run.py
@@ -24,6 +24,12 @@
 
 DRAIN_SECONDS = (0.5, 2.0)
 """Range of the times from a drain to the host's end."""
+FAULTY_SERVICES = (
+    Service.SILENT, Service.DOWN, Service.FAILING, Service.OLD, Service.SLOW, Service.SLOW, Service.SLOW
+)  # fmt: skip
+"""How the name service fails; it is slow as often as it fails in most other ways together."""
+SLOW_DRAINS_SECONDS = (1.0, 3.0)
+"""Range of the times for which the name service stays slow after a drain began."""
 LATENESS_POLL_SECONDS = 0.01
 FIRST_FAULT_SECONDS = 1.0
 SETTLE_SECONDS = 1.0
@@ -230,7 +236,7 @@
         running: list[asyncio.Task[None]] = []
         while time.time() < until:
             gateway = self._chance.choice(self._gateways)
-            service = self._chance.choice([x for x in Service if x is not Service.GOOD])
+            service = self._chance.choice(FAULTY_SERVICES)
             await gateway.names.set_service(service)
             if self._chance.random() < 0.5:
                 await self._reload(gateway, self._chance.randint(1, 3))
@@ -239,6 +245,8 @@
             if len(ready) > 3 and self._chance.random() < 0.7:
                 running.append(asyncio.create_task(self._replace(self._chance.choice(ready))))
                 await asyncio.sleep(self._chance.uniform(0.0, 0.3))
+            if service is Service.SLOW:  # drains are told while it is
+                await asyncio.sleep(self._chance.uniform(*SLOW_DRAINS_SECONDS))
             await gateway.names.set_service(Service.GOOD)
             await asyncio.sleep(self._chance.uniform(0.3, 1.0))
         await asyncio.gather(*running)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -117,16 +117,51 @@
 @pytest.mark.parametrize("rule", FAULTS, ids=lambda x: x.value)
 def test_a_planted_fault_is_found(tmp_path: Path, rule: Rule) -> None:
     kind, runs, faults = FAULTS[rule]
-    shutil.copytree(
-        ROOT / "otterglade", tmp_path / "otterglade", ignore=shutil.ignore_patterns("__pycache__")
-    )
+    code, counts, text = soak_with(tmp_path, faults, "--seed", "9291", "--runs", runs, "--only", kind)
+    assert code == 1 and counts["findings"][rule.value] > 0, text
+
+
+@dataclass(frozen=True)
+class UndoneMend:
+    """A mend that is taken back, and the soak that then finds something."""
+
+    rule: Rule
+    arguments: tuple[str, ...]
+    fault: Fault
+
+
+UNDONE_MENDS = {
+    # review/3: connections are not judged by their own missing answers.
+    "lost answers": UndoneMend(
+        Rule.RELEASE, ("--seed", "506", "--runs", "2", "--only", "network"),
+        Fault("core/connection_health.py", "return oldest is not None and now - oldest.sent_at >"
+              " UNANSWERED_SECONDS", "return False"),
+    ),
+    # review/2: answers are not accepted for as long as they may take.
+    "slow answers": UndoneMend(
+        Rule.DRAINED, ("--seed", "9302", "--runs", "2", "--only", "discovery"),
+        Fault("node/pending_queries.py", "now - query.sent_at > ANSWER_SECONDS", "now - query.sent_at > 0.3"),
+    ),
+}  # fmt: skip
+
+
+@pytest.mark.long
+@pytest.mark.parametrize("name", UNDONE_MENDS)
+def test_an_undone_mend_is_found(tmp_path: Path, name: str) -> None:
+    mend = UNDONE_MENDS[name]
+    code, counts, text = soak_with(tmp_path, [mend.fault], *mend.arguments)
+    assert code == 1 and counts["findings"][mend.rule.value] > 0, text
+
+
+def soak_with(folder: Path, faults: list[Fault], *arguments: str) -> tuple[int, dict[str, Any], str]:
+    """Run the command on a copy of the package with planted faults."""
+    shutil.copytree(ROOT / "otterglade", folder / "otterglade", ignore=shutil.ignore_patterns("__pycache__"))
     for fault in faults:
-        path = tmp_path / "otterglade" / fault.module
+        path = folder / "otterglade" / fault.module
         text = path.read_text()
         assert text.count(fault.old) == 1, f"{fault.module}: {fault.old}"
         path.write_text(text.replace(fault.old, fault.new))
-    code, counts, text = soak(tmp_path, "--seed", "9291", "--runs", runs, "--only", kind)
-    assert code == 1 and counts["findings"][rule.value] > 0, text
+    return soak(folder, *arguments)
 
 
 # The judge on made-up records
