Soak: a slow answer to an earlier process does not count as telling its successor

The drains all lie 0.9 to 1.2 s after the start of a gateway, "told" up to 0.9 s before: the answer that told them was sent after the start, 0.3 to 1.49 s late, to a query of the process before, at its socket. Change: a sent list carries when it was asked for, and tells a process only what it asked itself. A constant's doc comment in test_node_restarts stands behind its constant again.

--- a/otterglade/lab/soak/discovery.py
+++ b/otterglade/lab/soak/discovery.py
@@ -133,14 +133,17 @@
         """Answer a query."""
         if self._transport is None or self.service in (Service.SILENT, Service.DOWN):
             return
+        now = time.time()
         if self.service is not Service.SLOW:
-            self._answer(data, addr, self._transport)
+            self._answer(data, addr, self._transport, now)
         elif self._chance.random() >= SLOW_LOST_SHARE:
             drawn = self._least_delay + self._chance.uniform(0.0, SLOW_SPREAD_SECONDS)
             delay = min(drawn, SLOW_SECONDS[1])
-            asyncio.get_running_loop().call_later(delay, self._answer, data, addr, self._transport)
+            asyncio.get_running_loop().call_later(delay, self._answer, data, addr, self._transport, now)
 
-    def _answer(self, data: bytes, addr: tuple[str | Any, int], transport: asyncio.DatagramTransport) -> None:
+    def _answer(
+        self, data: bytes, addr: tuple[str | Any, int], transport: asyncio.DatagramTransport, asked_at: float
+    ) -> None:
         """Send the list as it is now, unless the service has moved since."""
         if transport is not self._transport:
             return
@@ -155,4 +158,4 @@
         ]
         transport.sendto(encode_list(data, serial, listed, flags), addr)
         if self.service is not Service.FAILING:
-            self._records.lists_sent.append(ListSent(self._gateway, serial, time.time()))
+            self._records.lists_sent.append(ListSent(self._gateway, serial, time.time(), asked_at))
--- a/otterglade/referee/platform_records.py
+++ b/otterglade/referee/platform_records.py
@@ -113,6 +113,8 @@
     gateway: int
     serial: int
     at: float
+    asked_at: float
+    """When the query came: the answer to one of an earlier process tells the next one nothing."""
 
 
 @dataclass(slots=True, eq=False)
--- a/otterglade/referee/platform_rules.py
+++ b/otterglade/referee/platform_rules.py
@@ -100,7 +100,7 @@
         sent = (
             x.at
             for x in self.records.lists_sent
-            if x.gateway == life.gateway and x.serial >= change.serial and x.at >= life.started_at
+            if x.gateway == life.gateway and x.serial >= change.serial and x.asked_at >= life.started_at
         )
         return min(next(sent, math.inf), self._latest_telling(change, life))
 
--- a/tests/test_node_restarts.py
+++ b/tests/test_node_restarts.py
@@ -39,9 +39,9 @@
 REFUSALS = (453, 454, 503)
 """Statuses after which a retry is harmless."""
 NEW_CONNECTIONS_FOR, REQUESTS_FOR = 0.4, 0.6
+"""Seconds after SIGTERM during which connections, and requests on open ones, keep arriving and are served."""
 MOST_CONNECTIONS = 100
 """Connections of a test; from 155 on the gateway makes room by closing the longest idle."""
-"""Seconds after SIGTERM during which connections, and requests on open ones, keep arriving and are served."""
 CROSSING = 0.05
 """Seconds before the end of a connection within which a set-up on it is sent once more elsewhere."""
 EXTRA_ANSWER_DELAY = 0.3
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -222,7 +222,7 @@
 
 def send_after_a_drain(records: Records) -> None:
     records.changes.append(ListChange(41, "h0", HostState.DRAINING, 99.0))
-    records.lists_sent.append(ListSent(0, 41, 99.1))
+    records.lists_sent.append(ListSent(0, 41, 99.1, 99.0))
 
 
 def send_after_a_drain_during_an_outage(records: Records) -> None:
