A host that refuses a further connection is not taken for dead while one is open

Cause: Host.maintain gave up the control connection of a silent host before its successor was up, and link_lost took "refused" with no other connection that is not draining for the process's end. The connections of a process that has died are reset, so an open one is evidence against that, draining or not. With one open, 5 s of silence did the same. Change: the successor takes over once it is established. Refused with any connection open: where the settings allow probes one is sent there; an answer is the sign of life, none in time means lost as before. Unlisted: lost as before.

--- a/otterglade/node/gateway.py
+++ b/otterglade/node/gateway.py
@@ -60,7 +60,9 @@
         sockets = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
         self._max_connections = max(32, sockets - RESERVED_DESCRIPTORS)
         self._host_link_quota = links = self._max_connections // HOST_SHARE_DIVISOR
-        self.hosts = HostPool(reactor, self, settings.connect_timeout, links, log, settings.idle_close)
+        self.hosts = HostPool(
+            reactor, self, settings.connect_timeout, links, log, settings.idle_close, settings.probes
+        )
         self.hand_overs = PendingHandOvers()
         self.discovery = Discovery(
             reactor, config.resolver, config.serial, lambda x: self._apply_host_list(x.hosts), log
--- a/otterglade/node/hosts.py
+++ b/otterglade/node/hosts.py
@@ -115,6 +115,8 @@
         self.draining = False
         self.links: list[Link] = []
         self.control: Link | None = None
+        self._successor: Link | None = None
+        """Takes the place of the control connection of a silent host once it is established."""
         self.attempts: dict[bytes, Attempt] = {}
         self.established: dict[bytes, EstablishedSession] = {}
         self.cancelled: OrderedDict[bytes, float] = OrderedDict()
@@ -501,7 +503,10 @@
         if link.channel.closed:
             return
         self.repeats.connection_established(link.opened_at)
-        if self.control is not None and not self.control.is_usable and not link.attempts:
+        if link is self._successor and self.control is not None:
+            self.control.draining, self.control.last_used_at = True, self.last_received_at
+            self.control = link
+        elif self.control is not None and not self.control.is_usable and not link.attempts:
             self.control = link
         self._send_pending()
 
@@ -565,14 +570,24 @@
             return
         now = self.pool.reactor.clock()
         self.retry_at = now + RECONNECT_SECONDS
-        has_open_link = any(x.channel.is_connected and (x.is_suspect or not x.draining) for x in self.links)
-        # A listed host may refuse a further connection and go on with those that it has. A host that is no
-        # longer listed is gone, though its last connections may be closed later or never.
-        if cause == "refused" and (self.is_unlisted or not has_open_link):
+        open_links = [x for x in self.links if x.channel.is_connected and not x.is_retired]
+        # A listed host may refuse a further connection and go on with those that it has: the connections of a
+        # process that has died are reset. A host that is no longer listed is gone, though its last
+        # connections may be closed later or never.
+        if cause == "refused" and (self.is_unlisted or not open_links):
             self.close()
             self.mark_lost("takes no connections", silent=False)
-        elif not has_open_link or now - self.last_received_at > SILENCE_SECONDS:
+        elif not open_links or now - self.last_received_at > SILENCE_SECONDS:
             self.failing_since = now if self.failing_since is None else self.failing_since
+            if cause == "refused" and self.pool.may_probe:
+                self._check_open_link(self.control if self.control in open_links else open_links[0])
+
+    def _check_open_link(self, link: Link | None) -> None:
+        """Ask a host that refuses connections for a sign of life on one that is open."""
+        if link is not None:
+            session = os.urandom(8).hex().encode("ascii")
+            link.unanswered.add(session, RequestKind.PROBE, self.pool.reactor.clock())
+            link.send(messages.load_probe(session))
 
     def _close_link(self, link: Link, failure: FailureKind, resend: bool = True) -> None:
         """Close a connection, or account for one that ended.
@@ -720,15 +735,9 @@
             self.mark_lost("has been silent", silent=True)
         elif self.control is None:
             self.ensure_control()
-        elif (
-            now - self.last_received_at > SILENCE_SECONDS
-            and now >= self.retry_at
-            and self.control.channel.is_connected
-        ):
-            old, self.control = self.control, None
-            old.draining, old.last_used_at = True, now
+        elif now - self.last_received_at > SILENCE_SECONDS and now >= self.retry_at and self._all_connected():
             self.retry_at = now + RECONNECT_SECONDS
-            self.control = self._open_link()
+            self._successor = self._open_link()
         else:
             self._open_due_link(now)
 
@@ -780,11 +789,13 @@
         links: int,
         log: Callable[[str], None],
         idle_close: float = 0.0,
+        may_probe: bool = False,
     ) -> None:
         """`links`: maximum of connections to all hosts; `idle_close`: seconds after which a host closes an
-        idle connection, 0: never; `connect_timeout`: seconds; `log` gets lines for the log."""
+        idle connection, 0: never; `connect_timeout`: seconds; `log` gets lines for the log; `may_probe`:
+        whether hosts take load probes."""
         self.reactor, self.owner, self.connect_timeout = reactor, owner, connect_timeout
-        self._max_links, self.log = links, log
+        self._max_links, self.log, self.may_probe = links, log, may_probe
         self.reuse_seconds = (
             max(idle_close - IDLE_CLOSE_MARGIN_SECONDS, idle_close / 2) if idle_close > 0 else math.inf
         )
--- a/tests/platform.py
+++ b/tests/platform.py
@@ -541,8 +541,9 @@
         respond: Callable[[Received], None] = accept,
         **changes: Any,
     ) -> None:
-        """`changes`: fields of the `Platform`."""
-        self.platform = Platform(folder, given=settings(), **changes)
+        """`changes`: fields of the `Platform`, and `settings`."""
+        given = changes.pop("settings", None) or settings()
+        self.platform = Platform(folder, given=given, **changes)
         for index in range(hosts):
             self.platform.add(f"h{index}", respond)
         self.platform.configure()
--- a/tests/test_node_lost_answers.py
+++ b/tests/test_node_lost_answers.py
@@ -27,6 +27,7 @@
     fields,
     new_session_id,
     set_up,
+    settings,
     stepped,
 )
 from .platform import Connection as HostConnection
@@ -144,6 +145,8 @@
         self.gateway, self.media_host = found, host
         self.viewer: ViewerEnd = found.viewer()
         self.heard_at = 0.0
+        self.host_is_heard = True
+        """Whether the host says something each half second while the clock is advanced."""
 
     @property
     def host(self) -> Host:
@@ -177,7 +180,7 @@
         """Advance the clock, while the host is heard on another connection each half second."""
         until = self.gateway.clock_offset + seconds
         while self.gateway.clock_offset < until:
-            if self.gateway.reactor.clock() - self.heard_at > 0.5:
+            if self.host_is_heard and self.gateway.reactor.clock() - self.heard_at > 0.5:
                 self.heard_at = self.gateway.reactor.clock()
                 self.media_host.say_something()
             self.gateway.clock_offset += min(STEP_SECONDS, until - self.gateway.clock_offset)
@@ -386,3 +389,53 @@
         world.advance(10.0)
         assert set(sessions[:2]) <= set(world.media_host.released)
         assert len(world.media_host.connections) == settled
+
+
+# Hosts that refuse further connections
+
+
+@contextlib.contextmanager
+def one_probed_host(folder: Path) -> Iterator[LostAnswers]:
+    """The same with load probes allowed; the host says nothing unasked."""
+    with stepped(folder, hosts=0, settings=settings(bounds__probes=True)) as found:
+        host = found.platform.hosts["h0"] = ReportingHost()
+        found.platform.publish_hosts()
+        found.run_until(lambda: found.gateway.hosts.by_number)
+        world = LostAnswers(found, host)
+        world.host_is_heard = False
+        yield world
+
+
+def refuse_connections(world: LostAnswers) -> None:
+    """Refuse further connections, as a host does that holds as many as it accepts."""
+    world.media_host.stop_listening()
+
+
+@pytest.mark.parametrize("quiet", [0.0, 5.0, 20.0], ids=lambda x: f"quiet for {x:g} s")
+def test_sessions_at_a_host_that_refuses_further_connections_go_on(tmp_path: Path, quiet: float) -> None:
+    """Guards against a full host that is taken for dead, and plays on what its viewers were told is over."""
+    with one_probed_host(tmp_path) as world:
+        sessions = world.establish(3)
+        world.advance(quiet)
+        refuse_connections(world)
+        world.advance(12.0)
+        assert all(x in world.host.established for x in sessions)
+        assert not any(world.is_told(x) for x in sessions)
+        assert not world.media_host.released
+
+
+def test_sessions_at_a_host_that_refuses_connections_and_answers_nothing_are_over(tmp_path: Path) -> None:
+    """Its machine may be back without the process: open connections stay silent."""
+    with one_probed_host(tmp_path) as world:
+        sessions = world.establish(3)
+        refuse_connections(world)
+        world.media_host.of_no_use.update(world.media_host.connections)
+        took = world.seconds_until(lambda: all(world.is_told(x) for x in sessions), TOLD_WITHIN_SECONDS)
+        assert took <= TOLD_WITHIN_SECONDS
+
+
+def test_sessions_of_a_process_that_has_died_are_over_at_once(tmp_path: Path) -> None:
+    with one_probed_host(tmp_path) as world:
+        sessions = world.establish(3)
+        world.media_host.die()
+        assert world.seconds_until(lambda: all(world.is_told(x) for x in sessions), 8.0) <= 1.0
