--- a/otterglade/node/host_links.py
+++ b/otterglade/node/host_links.py
@@ -14,8 +14,8 @@
 if TYPE_CHECKING:
     from .hosts import Host
 
-CLOSE_SECONDS = 1.0
-"""Seconds to wait for a host's close of a connection that was closed from here."""
+CLOSE_SECONDS = 0.6
+"""Seconds to wait for a host's close of a connection that was closed from here: either may take 0.25 s."""
 MAX_MESSAGES = 32
 """Messages of one connection that are handled in one iteration of the event loop."""
 PARTIAL_MESSAGE_SECONDS = 0.25
--- a/otterglade/node/hosts.py
+++ b/otterglade/node/hosts.py
@@ -775,7 +775,11 @@
                     continue  # read it first: it may be the only report of a session's end
                 if link.is_suspect:
                     self._release_cancelled_setups(link)
-                link.retire()
+                if self.established:
+                    link.retire()
+                else:  # no report can be on its way
+                    link.channel.close()
+                    self._remove_link(link)
 
 
 class HostPool:
