--- a/review/stage2.py
+++ b/review/stage2.py
@@ -257,8 +257,10 @@
         self.weight, self.zone, self.state, self.started_ms = weight, "east", "active", 0
         self.address = ("127.0.0.1", 0)
         self.arrivals: list[Arrival] = []
-        self.mute = False
-        """Whether nothing that arrives is answered: the machine stands still or is cut off."""
+        self.hears = True
+        """Whether it sends the free answer to a TEARDOWN ('release heard')."""
+        self._runs = asyncio.Event()
+        self._runs.set()
         self.playing: dict[str, Link] = {}
         """Sessions that stand here, and the connections of their set-ups."""
         self.released: dict[str, float] = {}
@@ -284,12 +286,13 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         link = Link(self, writer)
         self.links.append(link)
-        if not self.mute:
-            for session, cause in self._owed.items():
-                link.send(teardown(session, cause))
-            self._owed.clear()
+        await self._runs.wait()
+        for session, cause in self._owed.items():
+            link.send(teardown(session, cause))
+        self._owed.clear()
         while (message := await read_message(reader)) is not None:
-            if not self.mute:
+            await self._runs.wait()
+            if not link.forgotten:
                 await self._handle(link, message)
         link.closed = True
         if link in self.links:
@@ -312,21 +315,46 @@
                 pending.cancel()
             for other in self.links:
                 other.pending.pop(message.session, None)
-            if self.playing.pop(message.session, None) is not None or pending is not None:
-                self.released[message.session] = time.time()
-                self.record(f"{self.name}: {message.session} released by the gateway")
-            link.send(answer_to(message, 200))
+            if self.hears:
+                link.send(answer_to(message, 200))
+            if pending is not None:
+                self.record(f"{self.name}: {message.session} given up by the gateway")
+            self._release(link, message.session)
         elif message.method == "REDIRECT":
-            if self.playing.pop(message.session, None) is not None:
-                self.released[message.session] = time.time()
-                link.send(teardown(message.session, 31))
+            self._release(link, message.session)
         elif message.method == "OPTIONS":
             use = f"{min(1.0, len(self.playing) / 300.0):.3f}"
             link.send(answer_to(message, 200, **{"X-Gauges": f"x0:{use};x1:{use}"}))
 
+    def _release(self, link: Link, session: str) -> None:
+        """The gateway has released a session: it is over, and its release has cause 31."""
+        if self.playing.pop(session, None) is not None:
+            self.released[session] = time.time()
+            self.record(f"{self.name}: {session} released by the gateway")
+            link.send(teardown(session, 31))
+            self._owed[session] = 31
+
+    def hang(self) -> None:
+        """The process stands still: nothing is read or sent, and its kernel goes on."""
+        self.record(f"{self.name}: stands still with {len(self.playing)} sessions")
+        self._runs.clear()
+
+    def resume(self) -> None:
+        """It goes on with all that came meanwhile."""
+        self.record(f"{self.name}: goes on")
+        self._runs.set()
+
+    def forget_connections(self) -> None:
+        """Forget the connections that are idle: they stay open, and nothing passes on them any more."""
+        idle = [x for x in self.links if not x.pending]
+        self.record(f"{self.name}: forgets {len(idle)} idle connections")
+        for link in idle:
+            link.forgotten = True
+
     async def accept(self, link: Link, message: Message) -> None:
         """Accept a set-up: the session stands."""
         await asyncio.sleep(self.work)
+        await self._runs.wait()
         link.pending.pop(message.session, None)
         self.play(message.session, link)
         link.send(answer_to(message, 200, description(self.name, message.session)))
@@ -342,7 +370,8 @@
 
     async def _end_later(self, session: str, length: float) -> None:
         await asyncio.sleep(length)
-        if session in self.playing and not self.mute:
+        await self._runs.wait()
+        if session in self.playing:
             self.end(session, 16)
 
     def end(self, session: str, cause: int) -> None:
@@ -382,12 +411,14 @@
     """One connection of a media host."""
 
     def __init__(self, host: Host, writer: asyncio.StreamWriter | None) -> None:
-        self.host, self.writer, self.closed = host, writer, writer is None
+        self.host, self.writer, self.closed, self.forgotten = host, writer, writer is None, False
         self.pending: dict[str, asyncio.Future[None]] = {}
 
     def send(self, data: bytes) -> None:
-        """Send, unless the connection has ended."""
-        if self.writer is not None and not self.closed and not self.writer.is_closing():
+        """Send, unless the connection has ended or is of no further use."""
+        if self.writer is None or self.closed or self.forgotten:
+            return
+        if not self.writer.is_closing():
             self.writer.write(data)
 
     def reset(self) -> None:
