--- a/review/stage2.py
+++ b/review/stage2.py
@@ -267,6 +267,8 @@
         """Sessions that the gateway has released, and when."""
         self.on_setup: Callable[[Link, Message], Awaitable[bool]] | None = None
         """Called for each set-up; returns whether it was dealt with."""
+        self.on_end: Callable[[str], object] = lambda session: None
+        """Called for each session that has come to its end here."""
         self.links: list[Link] = []
         self._owed: dict[str, int] = {}
         self._server: asyncio.Server | None = None
@@ -377,6 +379,7 @@
     def end(self, session: str, cause: int) -> None:
         """A session is over: tell it on its connection, or on any open one, and on the next one."""
         link = self.playing.pop(session)
+        self.on_end(session)
         self.record(f"{self.name}: {session} is over, cause {cause}")
         if link.closed:
             link = next((x for x in self.links if not x.closed), link)
@@ -471,18 +474,21 @@
         self.mine: set[str] = set()
         self.tests: dict[str, asyncio.Future[int]] = {}
         self.closed = False
+        self.opened_at = self.closed_at = float("inf")
         self.writer: asyncio.StreamWriter | None = None
         self._task: asyncio.Task[None] | None = None
 
     async def open(self, address: tuple[str, int]) -> None:
         """Connect to a gateway."""
         reader, self.writer = await asyncio.open_connection(*address)
+        self.opened_at = time.time()
         self._task = asyncio.create_task(self._read(reader))
 
     async def _read(self, reader: asyncio.StreamReader) -> None:
         while (message := await read_message(reader)) is not None:
             self._handle(message)
-        self.closed = True
+        self.closed, self.closed_at = True, time.time()
+        self.record(f"{self.name}: closed by the gateway")
         for session in self.mine:
             request = self.requests[session]
             if not request.answers:
