--- a/review/stage2.py
+++ b/review/stage2.py
@@ -336,6 +336,13 @@
             link.send(teardown(session, 31))
             self._owed[session] = 31
 
+    async def refuse_connections(self) -> None:
+        """Take no further connection; those that are open go on. `open` takes them again."""
+        self.record(f"{self.name}: refuses further connections")
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+
     def hang(self) -> None:
         """The process stands still: nothing is read or sent, and its kernel goes on."""
         self.record(f"{self.name}: stands still with {len(self.playing)} sessions")
