--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,89 +1,149 @@
-"""Sessions handed over at a start, one media host of which takes no further connection for 3 s."""
+"""Releases of viewers' sessions while bad clients send hundreds of requests at once."""
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
+import random
 import sys
 import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from stage2 import BROKEN, HELD, SLACK, TROUBLE, CannotRunError, Front, Request, Stage, run, settings
+from stage2 import (
+    BROKEN,
+    HELD,
+    SLACK,
+    TROUBLE,
+    CannotRunError,
+    Front,
+    Gateway,
+    Link,
+    Message,
+    Request,
+    Stage,
+    answer_to,
+    read_message,
+    run,
+    set_up,
+    settings,
+)
 
-HOSTS, SEATS, AT_THE_HOST = 12, 8, 3
-PLAYS_SECONDS = 40.0
-"""Within the 20 to 48 s that a session lasts at cairo-maadi."""
-FULL_SECONDS, WATCHED_SECONDS = 3.0, 12.0
-COMES_AGAIN_AFTER = 0.9
-"""Viewers come again 0.71 to 2.2 s after a break."""
-LASTS = 0.3
-"""Seconds on end for which the seats have to be exceeded: a release takes its way."""
-TITLE = b"7f3a9c21e0b4d655"
+HOSTS, SOCKETS = 6, 256
+REQUESTS_PER_SECOND, PLAYS_SECONDS, CALM_SECONDS, ASKING_SECONDS = 2.0, 6.0, 7.0, 14.0
+BAD_CLIENTS, BAD_SECONDS = 250, 3.0
+UNKNOWN = b"00000000000000ff"
+"""A title that no media host knows: it answers 'error'."""
+WITHIN = 8.0 + SLACK
 
 
-async def come_again(front: Front, request: Request) -> None:
-    """A viewer that is told that its session is over asks again."""
-    while not request.releases:
-        await asyncio.sleep(0.05)
-    await asyncio.sleep(COMES_AGAIN_AFTER)
-    front.ask("sign-off", 3.0, title=TITLE)
+class Strangers:
+    """The bad clients: each has one connection and asks again as soon as it is turned away."""
+
+    def __init__(self, stage: Stage, gateway: Gateway) -> None:
+        self.stage, self.gateway = stage, gateway
+        self.foreign: list[str] = []
+        """Sessions of the usual viewers that a bad client was told about."""
+        self.turned_away = 0
+
+    async def one(self) -> None:
+        """One bad client: reads all that it is sent, and keeps its connection."""
+        with contextlib.suppress(OSError):
+            reader, writer = await asyncio.open_connection(*self.gateway.address)
+            until, waits = time.time() + BAD_SECONDS, False
+            while True:
+                if not waits and time.time() < until:
+                    writer.write(set_up(os.urandom(8).hex(), "timelapse", 5.0, title=UNKNOWN))
+                    waits = True
+                message = await read_message(reader)
+                if message is None:
+                    break
+                if message.status:
+                    self.turned_away += message.status != 200
+                    waits = False
+                elif message.session in self.stage.requests:
+                    self.foreign.append(message.session)
+                    self.stage.record(f"a bad client is sent {message.method} of {message.session}")
+            writer.close()
+
+
+async def refuse_unknown(link: Link, message: Message) -> bool:
+    """Media hosts answer 'error' to what they can't use."""
+    if not message.target.endswith(UNKNOWN.decode()):
+        return False
+
+    async def refuse() -> None:
+        await asyncio.sleep(link.host.work)
+        link.send(answer_to(message, 500))
+
+    link.host.spawn(refuse())
+    return True
+
+
+async def viewers(stage: Stage, gateway: Gateway, fronts: list[Front]) -> list[Request]:
+    """The usual viewers ask now and then, on a new connection where none is open."""
+    requests = []
+    until = time.time() + ASKING_SECONDS
+    while time.time() < until:
+        live = [x for x in fronts if not x.closed]
+        if not live:
+            live = [stage.front(f"n0/again{len(fronts)}")]
+            await live[0].open(gateway.address)
+            fronts += live
+            stage.record("viewers: a new connection")
+        requests.append(random.choice(live).ask("timelapse", 5.0))
+        await asyncio.sleep(random.uniform(0.5, 1.5) / REQUESTS_PER_SECOND)
+    return requests
 
 
 async def play(stage: Stage) -> int:
-    """One run: the seats of a title are taken by sessions that are handed over."""
-    hosts = [await stage.host(f"h{n:02}", n % 3, length=PLAYS_SECONDS) for n in range(HOSTS)]
-    full = hosts[0]
-    gateway = stage.gateway("n0", settings(family_info__seats=[0, SEATS]))
-    standing = []
-    for number in range(SEATS):
-        host = full if number < AT_THE_HOST else hosts[number]
-        session = os.urandom(8).hex()
-        host.play(session, None)
-        standing.append((session, host))
+    """One run."""
+    hosts = [await stage.host(f"h{n}", n % 3, length=PLAYS_SECONDS) for n in range(HOSTS)]
+    ended: dict[str, float] = {}
+    for host in hosts:
+        host.on_setup = refuse_unknown
+        host.on_end = lambda session: ended.setdefault(session, time.time())
+    gateway = stage.gateway("n0", settings(), sockets=SOCKETS)
     await gateway.start()
-    (front,) = await gateway.connect(1)
+    fronts = await gateway.connect(2)
+    asking = asyncio.create_task(viewers(stage, gateway, fronts))
+    await asyncio.sleep(CALM_SECONDS)
+    strangers = Strangers(stage, gateway)
+    if TROUBLE:
+        stage.record(f"{BAD_CLIENTS} bad clients connect")
+        clients = [asyncio.create_task(strangers.one()) for _ in range(BAD_CLIENTS)]
+    requests = await asking
+    await asyncio.sleep(PLAYS_SECONDS + WITHIN + 1.0)
     if TROUBLE:
-        await full.refuse_connections()
-    handed_over = [front.hand_over(session, "sign-off", host.name, title=TITLE) for session, host in standing]
-    viewers = [asyncio.create_task(come_again(front, x)) for x in handed_over]
-    started = time.time()
-    over_since, longest, most = 0.0, 0.0, 0
-    opened = not TROUBLE
-    extra = started + 0.5
-    while time.time() < started + WATCHED_SECONDS:
-        now = time.time()
-        if not opened and now > started + FULL_SECONDS:
-            opened = True
-            await full.open()
-            stage.record(f"{full.name}: takes connections again")
-        if now > extra:  # another viewer wants the title: refused while its seats are taken
-            extra += 2.0
-            front.ask("sign-off", 3.0, title=TITLE)
-        count = sum(len(host.playing) for host in hosts)
-        most = max(most, count)
-        over_since = (over_since or now) if count > SEATS else 0.0
-        longest = max(longest, now - over_since if over_since else 0.0)
-        await asyncio.sleep(0.02)
-    for viewer in viewers:
-        viewer.cancel()
-    untold = 0
-    for request, (session, host) in zip(handed_over, standing, strict=True):
-        if request.releases and session in host.playing:
-            untold += 1
-            stage.record(f"{session}: its viewer was told that it is over, and it stands at {host.name}")
-    if longest > LASTS + SLACK:
-        stage.record(f"BROKEN: {most} sessions of the title stand, seats: {SEATS}, for {longest:.3f} s")
+        for client in clients:
+            client.cancel()
+    left = 0
+    for request in requests:
+        if request.status == 200 and request.session in ended:
+            if request.releases and request.releases[0][0] <= ended[request.session] + WITHIN:
+                continue
+            over = ended[request.session]
+            if not any(x.opened_at < over + 8.0 and x.closed_at > over for x in fronts):
+                continue  # the viewers had no connection on which a release could be sent
+            left += 1
+            told = "a bad client was told" if request.session in strangers.foreign else "nobody was told"
+            stage.record(
+                f"BROKEN: {request.session} was over at {over - stage.record.started:.3f}, "
+                f"and its viewer was not told within {WITHIN} s; {told}"
+            )
+    served = sum(x.status == 200 for x in requests)
     text = (
-        f"{SEATS} sessions handed over, {untold} of them told over while they stand; "
-        f"at most {most} sessions with {SEATS} seats, over the seats for {longest:.3f} s"
+        f"{len(requests)} set-ups of viewers, {served} served, {left} never released; "
+        f"{len(strangers.foreign)} releases sent to bad clients, which were turned away "
+        f"{strangers.turned_away} times"
     )
     stage.record(text)
     print(text)
-    if gateway.crashed() or most < SEATS:
-        raise CannotRunError("the sessions were not handed over")
-    return BROKEN if longest > LASTS + SLACK else HELD
+    if gateway.crashed() or served < 10:
+        raise CannotRunError("the viewers were not served")
+    return BROKEN if left or strangers.foreign else HELD
 
 
 run(__file__, play)
